Add the design page, the build and the base library

Cause: the project starts; parts that are built side by side need fixed interfaces. Change: docs/design.md settles programs, ownership, requests, jobs, settings and wire formats. The public headers of http, rpc, platform, ownership, settings and node state the contracts before their code exists. Formatter and linter match the Qt style. src/base holds ids, units, clock, typed errors and JSON access. Ruled out: one program for everything, a consensus group, a row per placement (see docs/design.md).

--- /dev/null
+++ b/cmake/networkpch.cpp
@@ -0,0 +1,1 @@
+// Holds the precompiled network headers; see Targets.cmake.
--- /dev/null
+++ b/src/http/client.h
@@ -0,0 +1,56 @@
+// HTTP/1.1 client on Boost.Beast: kept connections to one address, each request with its deadline.
+
+#pragma once
+
+#include "base/clock.h"
+#include "http/message.h"
+
+#include <absl/status/statusor.h>
+#include <boost/asio/io_context.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cwl::http {
+
+struct ClientOptions
+{
+    std::string address;                   // "127.0.0.1:7000"
+    size_t maxConnections = 4;             // requests beyond it wait in order until their deadline
+    size_t maxBodyBytes = 4 * 1024 * 1024; // a larger answer fails with BodyTooLarge
+    Duration connectTimeout = milliseconds(1000);
+    Duration idleTimeout = seconds(30); // a kept connection unused for longer is closed
+};
+
+// The answer, complete, or a failure. Failures that mean "certainly not sent": ConnectionRefused
+// (no connection, or the kept connection was found closed before any byte was written) and
+// DeadlinePassed (it waited for a connection until its deadline). All others may have reached the
+// server: ConnectionLost, Timeout, AnswerTruncated, BodyTooLarge, ProtocolError.
+using ResponseCallback = std::function<void(absl::StatusOr<Response>)>;
+
+class Client
+{
+public:
+    // Connections are opened when needed. Error: InvalidValue for a malformed address.
+    static absl::StatusOr<std::unique_ptr<Client>> create(boost::asio::io_context &context,
+                                                          const ClientOptions &options);
+    ~Client(); // fails what is under way with ConnectionLost
+
+    // Sends `request`; calls `callback` exactly once on a thread of the io_context, at `deadline`
+    // at the latest. Nothing is retried.
+    void send(Request request, TimePoint deadline, ResponseCallback callback);
+
+    size_t openConnections() const;
+
+    // Closes idle connections now and busy ones after their answers.
+    void closeAll();
+
+private:
+    class Implementation;
+    explicit Client(std::shared_ptr<Implementation> implementation);
+    std::shared_ptr<Implementation> m_implementation;
+};
+
+} // namespace cwl::http
