--- a/src/node/node.h
+++ b/src/node/node.h
@@ -2,7 +2,7 @@
 
 #pragma once
 
-#include "base/clock.h"
+#include "base/exitcode.h"
 #include "http/server.h"
 #include "settings/processsettings.h"
 
@@ -16,15 +16,7 @@
 
 namespace cwl::node {
 
-// Typed exit codes of every program.
-enum class ExitCode : int {
-    Success = 0,
-    Failure = 1,          // a request was refused or failed
-    Usage = 2,            // unknown flag or argument
-    InvalidSettings = 3,  // settings file missing, malformed or impossible
-    AddressInUse = 4,     // a port could not be opened
-    SupervisorFailed = 5, // a child of the supervisor tree kept failing
-};
+using cwl::ExitCode;
 
 // The frame of one process. Routes registered here share the process's HTTP port with /healthz,
 // /readyz, /metrics and /state.
