--- a/src/rpc/rpc.h
+++ b/src/rpc/rpc.h
@@ -17,10 +17,10 @@
 namespace cwl::rpc {
 
 constexpr Duration heartbeatInterval =
-        milliseconds(500);                             // on a connection with nothing else to send
-constexpr Duration silenceLimit = seconds(2);          // a connection silent for longer is closed
-constexpr size_t maxJsonBytes = 1024 * 1024;           // of one frame
-constexpr size_t maxAttachmentBytes = 4 * 1024 * 1024; // of one frame
+        milliseconds(500);                           // on a connection with nothing else to send
+constexpr Duration silenceLimit = seconds(2);        // a connection silent for longer is closed
+constexpr size_t maxJsonBytes = size_t(1024) * 1024; // of one frame
+constexpr size_t maxAttachmentBytes = size_t(4) * 1024 * 1024; // of one frame
 
 struct Message
 {
