--- a/src/http/client.h
+++ b/src/http/client.h
@@ -17,9 +17,9 @@
 
 struct ClientOptions
 {
-    std::string address;                   // "127.0.0.1:7000"
-    size_t maxConnections = 4;             // requests beyond it wait in order until their deadline
-    size_t maxBodyBytes = 4 * 1024 * 1024; // a larger answer fails with BodyTooLarge
+    std::string address;       // "127.0.0.1:7000"
+    size_t maxConnections = 4; // requests beyond it wait in order until their deadline
+    size_t maxBodyBytes = 4UL * 1024 * 1024; // a larger answer fails with BodyTooLarge
     Duration connectTimeout = milliseconds(1000);
     Duration idleTimeout = seconds(30); // a kept connection unused for longer is closed
 };
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -18,11 +18,11 @@
 
 struct ServerOptions
 {
-    std::string address = "127.0.0.1";     // numeric IP address
-    uint16_t port = 0;                     // 0 lets the system choose; see Server::port()
-    size_t maxBodyBytes = 4 * 1024 * 1024; // larger bodies are answered with 413
-    size_t maxHeaderBytes = 16 * 1024;     // larger headers close the connection
-    size_t maxConnections = 2048;          // further connections are closed at once
+    std::string address = "127.0.0.1";       // numeric IP address
+    uint16_t port = 0;                       // 0 lets the system choose; see Server::port()
+    size_t maxBodyBytes = 4UL * 1024 * 1024; // larger bodies are answered with 413
+    size_t maxHeaderBytes = 16UL * 1024;     // larger headers close the connection
+    size_t maxConnections = 2048;            // further connections are closed at once
     Duration headerTimeout =
             seconds(5);                 // from the first byte of a request to the end of its header
     Duration bodyTimeout = seconds(15); // from the end of the header to the end of the body
