--- a/src/rpc/peer.cpp
+++ b/src/rpc/peer.cpp
@@ -1,5 +1,8 @@
 #include "rpc/peer.h"
 
+#include "base/error.h"
+#include "node/log.h"
+
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <boost/asio/ip/address.hpp>
@@ -188,6 +191,7 @@
     const std::unique_ptr<Tcp::socket> socket = std::move(m_opening);
     if (error) {
         m_connection = Connection::None;
+        log::info("rpc_connect_failed", {{"address", m_address}, {"error", error.message()}});
         return finishAll(Failure::ConnectionRefused,
                          "no connection to " + m_address + ": " + error.message());
     }
@@ -217,6 +221,8 @@
         return;
     m_connection = Connection::None;
     ++m_losses;
+    log::warn("rpc_connection_lost",
+              {{"address", m_address}, {"calls", m_calls.size()}, {"reason", reason}});
     setChannel(nullptr);
     finishAll(Failure::ConnectionLost,
               absl::StrCat("connection to ", m_address, " lost: ", std::string(reason.message())));
--- a/src/rpc/server.cpp
+++ b/src/rpc/server.cpp
@@ -1,4 +1,5 @@
 #include "base/error.h"
+#include "node/log.h"
 #include "rpc/channel.h"
 #include "rpc/codec/codec.h"
 #include "rpc/rpc.h"
@@ -189,6 +190,7 @@
         const std::lock_guard lock(m_mutex);
         if (m_isClosed || m_channels.size() >= m_maxConnections) {
             ++m_counters->closedAtOnce;
+            log::warn("rpc_connection_limit", {{"limit", m_maxConnections}});
             return;
         }
         m_channels.insert(channel);
@@ -199,7 +201,8 @@
             .received = [self = shared_from_this(),
                          link](Frame frame) { self->receive(link, std::move(frame)); },
             .closed =
-                    [self = shared_from_this(), link](const absl::Status &) {
+                    [self = shared_from_this(), link](const absl::Status &reason) {
+                        log::debug("rpc_connection_closed", {{"reason", reason}});
                         const std::lock_guard lock(self->m_mutex);
                         self->m_channels.erase(link->channel.lock());
                     }};
--- a/src/supervisor/supervisor.cpp
+++ b/src/supervisor/supervisor.cpp
@@ -1,6 +1,7 @@
 #include "supervisor/supervisor.h"
 
 #include "base/error.h"
+#include "node/log.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -147,6 +148,7 @@
     entry.failedAt = m_scheduler->now();
     entry.lastFailure = std::string(status.message());
     entry.phase = ChildPhase::CleaningUp;
+    log::warn("child_failed", {{"child", entry.name}, {"supervisor", m_name}, {"error", status}});
     stopChild(entry);
     if (m_phase == Phase::Running)
         watchStop(entry);
@@ -203,6 +205,8 @@
         if (entry.run != run || entry.phase != ChildPhase::Waiting || m_phase != Phase::Running)
             return;
         ++entry.restarts;
+        log::info("child_restarted",
+                  {{"child", entry.name}, {"supervisor", m_name}, {"restarts", entry.restarts}});
         startChild(entry);
     }));
 }
