--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -8,6 +8,7 @@
 #include "platform/wire.h"
 
 #include <absl/strings/str_cat.h>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
--- a/src/settings/follower.cpp
+++ b/src/settings/follower.cpp
@@ -4,6 +4,7 @@
 #include "base/json.h"
 
 #include <absl/strings/str_cat.h>
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
