--- /dev/null
+++ b/src/requests/servicetime.h
@@ -0,0 +1,29 @@
+// Observed service time as a moving average that fades without new observations.
+
+#pragma once
+
+#include "base/clock.h"
+
+#include <cstdint>
+
+namespace cwl::requests {
+
+class ServiceTime
+{
+public:
+    void add(Duration observed, TimePoint now);
+
+    // The average, or zero before the first observation. It halves each second (or twice the
+    // average, if longer) that passes without an observation, so a high value cannot refuse every
+    // request for ever.
+    Duration estimate(TimePoint now) const;
+
+    int64_t count() const { return m_count; } // observations so far
+
+private:
+    Duration m_average = {};
+    TimePoint m_last = {};
+    int64_t m_count = 0;
+};
+
+} // namespace cwl::requests
