--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -43,7 +43,7 @@
     {
     }
 
-    void send(Request request, TimePoint deadline, ResponseCallback callback);
+    void send(Request request, TimePoint deadline, ResponseCallback callback, SendGuard guard);
     void closeAll();
     void shutDown();
     size_t openConnections() const { return m_open; }
@@ -79,7 +79,8 @@
 
 // Section: requests and their queue
 
-void Client::Implementation::send(Request request, TimePoint deadline, ResponseCallback callback)
+void Client::Implementation::send(Request request, TimePoint deadline, ResponseCallback callback,
+                                  SendGuard guard)
 {
     std::optional<BeastRequest> message = toBeast(std::move(request), m_options.address);
     if (!message) {
@@ -90,7 +91,7 @@
         return;
     }
     auto exchange = std::make_shared<Exchange>(m_strand, *std::move(message), deadline,
-                                               std::move(callback));
+                                               std::move(callback), std::move(guard));
     asio::post(m_strand, [self = shared_from_this(), exchange] { self->enqueue(exchange); });
 }
 
@@ -116,6 +117,13 @@
             onDeadline(ExchangePointer(m_waiting.front()));
             continue;
         }
+        if (m_waiting.front()->guard && !m_waiting.front()->guard()) {
+            const ExchangePointer refused = m_waiting.front();
+            m_waiting.pop_front();
+            refused->finish(makeError(Failure::LeaseLapsed,
+                                      "the right to send to " + m_options.address + " has ended"));
+            continue;
+        }
         const LinkPointer link = takeIdleLink();
         if (!link)
             break;
@@ -392,9 +400,9 @@
     m_implementation->shutDown();
 }
 
-void Client::send(Request request, TimePoint deadline, ResponseCallback callback)
+void Client::send(Request request, TimePoint deadline, ResponseCallback callback, SendGuard guard)
 {
-    m_implementation->send(std::move(request), deadline, std::move(callback));
+    m_implementation->send(std::move(request), deadline, std::move(callback), std::move(guard));
 }
 
 size_t Client::openConnections() const
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -25,11 +25,16 @@
 };
 
 // The answer, complete, or a failure. Failures that mean "certainly not sent": ConnectionRefused
-// (no connection, or the kept connection was found closed before any byte was written) and
-// DeadlinePassed (it waited for a connection until its deadline). All others may have reached the
-// server: ConnectionLost, Timeout, AnswerTruncated, BodyTooLarge, ProtocolError.
+// (no connection, or the kept connection was found closed before any byte was written),
+// DeadlinePassed (it waited for a connection until its deadline) and LeaseLapsed (the guard refused
+// it). All others may have reached the server: ConnectionLost, Timeout, AnswerTruncated,
+// BodyTooLarge, ProtocolError.
 using ResponseCallback = std::function<void(absl::StatusOr<Response>)>;
 
+// Asked right before a request is written, on a thread of the io_context; false stops the request.
+// It may have waited for a connection, in which time the right to send it may have ended.
+using SendGuard = std::function<bool()>;
+
 class Client
 {
 public:
@@ -40,7 +45,7 @@
 
     // Sends `request`; calls `callback` exactly once on a thread of the io_context, at `deadline`
     // at the latest. Nothing is retried.
-    void send(Request request, TimePoint deadline, ResponseCallback callback);
+    void send(Request request, TimePoint deadline, ResponseCallback callback, SendGuard guard = {});
 
     size_t openConnections() const;
 
--- a/src/http/link.h
+++ b/src/http/link.h
@@ -28,10 +28,11 @@
 struct Exchange
 {
     Exchange(const Strand &strand, BeastRequest requestMessage, TimePoint requestDeadline,
-             ResponseCallback responseCallback)
+             ResponseCallback responseCallback, SendGuard sendGuard)
         : request(std::move(requestMessage))
         , deadline(requestDeadline)
         , callback(std::move(responseCallback))
+        , guard(std::move(sendGuard))
         , timer(strand)
     {
     }
@@ -39,6 +40,7 @@
     BeastRequest request;
     TimePoint deadline;
     ResponseCallback callback; // empty once called
+    SendGuard guard;           // may be empty
     boost::asio::steady_timer timer;
 
     void finish(absl::StatusOr<Response> result)
--- a/src/requests/endpointgroup.h
+++ b/src/requests/endpointgroup.h
@@ -122,6 +122,8 @@
     int64_t queued() const { return m_queues.queued(); }
     int64_t underWay() const { return static_cast<int64_t>(m_requests.size()) - queued(); }
     int64_t connectionsPerEndpoint() const { return m_pool.connectionsPerEndpoint(); }
+    int64_t inUse(const EndpointId &id) const { return m_pool.inUse(id); }
+    bool hasSuspectSlots(const EndpointId &id) const { return m_pool.hasSuspectSlots(id); }
     std::vector<ListedEndpoint> endpoints() const { return m_pool.endpoints(); }
     const GroupCounters &counters() const { return m_counters; }
     Json::Value state(TimePoint now) const;
--- a/src/requests/endpointpool.cpp
+++ b/src/requests/endpointpool.cpp
@@ -157,6 +157,12 @@
     return found == m_endpoints.end() ? 0 : found->second.inUse;
 }
 
+bool EndpointPool::hasSuspectSlots(const EndpointId &id) const
+{
+    const auto found = m_endpoints.find(id);
+    return found != m_endpoints.end() && !found->second.suspectSince.empty();
+}
+
 std::optional<TimePoint> EndpointPool::allEjectedUntil(TimePoint now) const
 {
     std::optional<TimePoint> earliest;
--- a/src/requests/endpointpool.h
+++ b/src/requests/endpointpool.h
@@ -77,8 +77,9 @@
 
     int64_t usableSlots(TimePoint now); // of endpoints that may be sent to, in use or not
     int64_t freeSlots(TimePoint now);
-    int64_t inUse(const EndpointId &id) const; // sent by this owner
-    bool hasEndpoints() const;                 // some endpoint is neither leaving nor gone
+    int64_t inUse(const EndpointId &id) const;        // sent by this owner
+    bool hasSuspectSlots(const EndpointId &id) const; // in use by others, as far as is known
+    bool hasEndpoints() const;                        // some endpoint is neither leaving nor gone
 
     // The earliest time at which an ejected endpoint is tried again, if all are ejected.
     std::optional<TimePoint> allEjectedUntil(TimePoint now) const;
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(requestThatCannotBeWrittenIsRefused);
     CPPUNIT_TEST(destroyedClientFailsWhatIsUnderWay);
     CPPUNIT_TEST(closeAllKeepsBusyConnections);
+    CPPUNIT_TEST(guardIsAskedWhenTheConnectionIsThere);
     CPPUNIT_TEST(malformedAddressIsTyped);
     CPPUNIT_TEST_SUITE_END();
 
@@ -321,6 +322,30 @@
         CPPUNIT_ASSERT(waitUntil([&] { return client->openConnections() == 0; }));
     }
 
+    // Guards against a request that is written after the right to send it ended while it waited.
+    void guardIsAskedWhenTheConnectionIsThere()
+    {
+        PlainServer server;
+        const auto client = clientOf({.address = server.address(), .maxConnections = 1});
+        std::future<Answer> first = sendWith(*client, {.path = "/1"});
+        PlainSocket connection = server.accept();
+        connection.readTo("/1 ");
+        std::atomic<bool> mayStillSend = true;
+        std::promise<Failure> failure;
+        client->send(
+                {.path = "/2"}, soon(),
+                [&failure](const Answer &answer) { failure.set_value(failureOf(answer.status())); },
+                [&mayStillSend] { return mayStillSend.load(); });
+        mayStillSend = false;
+        connection.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        CPPUNIT_ASSERT(failure.get_future().get() == Failure::LeaseLapsed);
+        std::future<Answer> third = sendWith(*client, {.path = "/3"});
+        connection.readTo("/3 ");
+        CPPUNIT_ASSERT(connection.received().find("/2 ") == std::string::npos);
+        connection.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        CPPUNIT_ASSERT(resultOf(std::move(first)).ok() && resultOf(std::move(third)).ok());
+    }
+
     void malformedAddressIsTyped()
     {
         for (const char *address : {"", "127.0.0.1", "host:1", "127.0.0.1:0", "127.0.0.1:70000"}) {
