Add the placement decisions as a pure library

Cause: the scheduler needs decisions that protect workers without guards, keep classes' and teams' shares in floods, and cost the same on any fleet. Ruled out: an object per waiting task (1,000,000 may wait; arrays keep a counter instead), a scan of the fleet or of the queue per decision (sizes without room are blocked until a release fits them), and a second pass that repairs partial gangs (a gang is planned before anything is reserved). Two faults that the tests found on the way are fixed: two gangs broke each other's held room without end, and a class exactly at its share was preempted.

--- /dev/null
+++ b/src/placement/preemption.cpp
@@ -0,0 +1,154 @@
+// Preemption by checkpoint: a class below its guaranteed share gets room from batch tasks of a
+// class above its own, the cheapest first and within a budget.
+
+#include "placement/planner.h"
+
+#include <algorithm>
+
+namespace cwl::placement {
+
+namespace {
+
+constexpr size_t maxVictimsExamined = 64; // tasks looked at for one preemption
+
+} // namespace
+
+void Planner::addPreemptible(uint32_t slot)
+{
+    auto &slots = m_preemptible[static_cast<size_t>(m_jobs[m_slots[slot].job].urgency)];
+    m_slots[slot].position = static_cast<uint32_t>(slots.size());
+    slots.push_back(slot);
+}
+
+void Planner::removePreemptible(uint32_t slot)
+{
+    Running &running = m_slots[slot];
+    if (running.position == noNumber)
+        return;
+    auto &slots = m_preemptible[static_cast<size_t>(m_jobs[running.job].urgency)];
+    slots[running.position] = slots.back();
+    m_slots[slots.back()].position = running.position;
+    slots.pop_back();
+    running.position = noNumber;
+}
+
+void Planner::refillPreemptions(TimePoint now)
+{
+    constexpr Duration interval = Duration(seconds(1)) / preemptionsPerSecond;
+    const int64_t earned = (now - m_preemptionsRefilled) / interval;
+    if (earned <= 0)
+        return;
+    m_preemptions = std::min(m_preemptions + earned, maxPreemptionBurst);
+    m_preemptionsRefilled =
+            m_preemptions == maxPreemptionBurst ? now : m_preemptionsRefilled + interval * earned;
+}
+
+bool Planner::mayLose(UrgencyClass urgency, const Resources &amount) const
+{
+    const ClassUsage &usage = m_accounts.usage(urgency);
+    return !m_accounts.isBelowGuarantee(urgency, usage.used - usage.leaving - amount,
+                                        m_fleet.total());
+}
+
+bool Planner::preempt(TimePoint now, Decision &decision)
+{
+    refillPreemptions(now);
+    if (m_preemptions <= 0)
+        return false;
+    for (size_t index = 0; index < urgencyClassCount; ++index) {
+        const auto urgency = static_cast<UrgencyClass>(index);
+        const JobNumber job = m_queue.nextBlocked(urgency);
+        if (job == noNumber)
+            continue;
+        const ClassUsage &usage = m_accounts.usage(urgency);
+        const double share = dominantShare(usage.used + usage.reclaimed, m_fleet.total());
+        const double guarantee = static_cast<double>(m_options.classShares[index]) / 100.0;
+        if (share < guarantee && preemptFor(job, now, decision))
+            return true;
+    }
+    return false;
+}
+
+bool Planner::preemptFor(JobNumber number, TimePoint now, Decision &decision)
+{
+    const Job &job = m_jobs[number];
+    if (!m_accounts.team(job.team).hasQuotaFor(job.each))
+        return false;
+    std::optional<Preemption> best;
+    for (size_t index = 0; index < urgencyClassCount; ++index) {
+        const std::vector<uint32_t> &slots = m_preemptible[index];
+        if (!mayLose(static_cast<UrgencyClass>(index), Resources()))
+            continue;
+        const size_t examined = std::min(slots.size(), maxVictimsExamined);
+        for (size_t step = 0; step < examined; ++step) {
+            const size_t position = (m_victimCursor[index] + step) % slots.size();
+            const WorkerNumber worker = m_slots[slots[position]].worker;
+            const bool isHere =
+                    job.place == Fleet::anyPlace || job.place == m_fleet.worker(worker).place;
+            if (!isHere || !m_fleet.isUsable(worker))
+                continue;
+            std::optional<Preemption> candidate = victimsOn(worker, job.each, now);
+            if (candidate && (!best || candidate->cost < best->cost))
+                best = std::move(candidate);
+        }
+        if (examined > 0)
+            m_victimCursor[index] = (m_victimCursor[index] + examined) % slots.size();
+    }
+    if (!best)
+        return false;
+    decision.kind = Decision::Kind::Preempt;
+    ClassUsage &usage = m_accounts.usage(job.urgency);
+    for (const uint32_t slot : best->slots) {
+        Running &victim = m_slots[slot];
+        victim.isStopping = true;
+        victim.preemptedFor = job.urgency;
+        const Job &victimJob = m_jobs[victim.job];
+        usage.reclaimed = usage.reclaimed + victimJob.each;
+        ClassUsage &loser = m_accounts.usage(victimJob.urgency);
+        loser.leaving = loser.leaving + victimJob.each;
+        removePreemptible(slot);
+        decision.assignments.push_back(assignmentOf(slot));
+    }
+    m_preemptions -= static_cast<int64_t>(best->slots.size());
+    return true;
+}
+
+std::optional<Planner::Preemption> Planner::victimsOn(WorkerNumber number, const Resources &demand,
+                                                      TimePoint now) const
+{
+    const Worker &worker = m_fleet.worker(number);
+    const auto costOf = [&](uint32_t slot) {
+        const std::chrono::duration<double> elapsed = now - m_slots[slot].started;
+        return elapsed.count() * static_cast<double>(m_jobs[m_slots[slot].job].each.cores.value())
+                / 1000.0;
+    };
+    std::vector<std::pair<double, uint32_t>> order;
+    for (const uint32_t slot : worker.slots) {
+        const Running &running = m_slots[slot];
+        if (running.position != noNumber)
+            order.emplace_back(costOf(slot), slot);
+    }
+    std::sort(order.begin(), order.end());
+    Preemption preemption;
+    Resources free = worker.free();
+    std::array<Resources, urgencyClassCount> losses = {};
+    for (const auto &[cost, slot] : order) {
+        if (demand.fitsIn(free))
+            break;
+        const Job &victim = m_jobs[m_slots[slot].job];
+        Resources &loss = losses[static_cast<size_t>(victim.urgency)];
+        if (!mayLose(victim.urgency, loss + victim.each))
+            continue;
+        loss = loss + victim.each;
+        free = free + victim.each;
+        preemption.slots.push_back(slot);
+        preemption.cost += cost;
+    }
+    const bool isEnough = demand.fitsIn(free) && !preemption.slots.empty()
+            && static_cast<int64_t>(preemption.slots.size()) <= m_preemptions;
+    if (!isEnough)
+        return std::nullopt;
+    return preemption;
+}
+
+} // namespace cwl::placement
--- /dev/null
+++ b/src/placement/queue.cpp
@@ -0,0 +1,295 @@
+#include "placement/queue.h"
+
+#include "placement/fleet.h"
+
+#include <algorithm>
+
+namespace cwl::placement {
+
+size_t SizeHash::operator()(const Size &size) const noexcept
+{
+    uint64_t hash = 1469598103934665603ull;
+    for (const int64_t value :
+         {size.each.cores.value(), size.each.memory.value(), size.each.accelerators.value(),
+          int64_t(size.place), int64_t(size.gang)}) {
+        hash = (hash ^ static_cast<uint64_t>(value)) * 0x9E3779B97F4A7C15ull;
+        hash ^= hash >> 29;
+    }
+    return hash;
+}
+
+bool Queue::isFullOfSizes(const Size &size) const
+{
+    return m_numbers.size() >= maxSizes && m_numbers.count(size) == 0;
+}
+
+// Section: jobs
+
+void Queue::add(JobNumber number, const Resources &total, bool isFirst)
+{
+    Job &job = m_jobs[number];
+    if (job.queue != noNumber)
+        return;
+    const uint32_t queueNumber = findOrAddQueue(job, total);
+    TeamQueue &queue = m_queues[queueNumber];
+    job.queue = queueNumber;
+    job.previous = isFirst ? noNumber : queue.tail;
+    job.next = isFirst ? queue.head : noNumber;
+    if (job.previous != noNumber)
+        m_jobs[job.previous].next = number;
+    else
+        queue.head = number;
+    if (job.next != noNumber)
+        m_jobs[job.next].previous = number;
+    else
+        queue.tail = number;
+}
+
+void Queue::remove(JobNumber number)
+{
+    Job &job = m_jobs[number];
+    if (job.queue == noNumber)
+        return;
+    TeamQueue &queue = m_queues[job.queue];
+    if (job.previous != noNumber)
+        m_jobs[job.previous].next = job.next;
+    else
+        queue.head = job.next;
+    if (job.next != noNumber)
+        m_jobs[job.next].previous = job.previous;
+    else
+        queue.tail = job.previous;
+    const uint32_t queueNumber = job.queue;
+    job.queue = job.previous = job.next = noNumber;
+    if (queue.head == noNumber)
+        removeQueue(queueNumber);
+}
+
+uint32_t Queue::findOrAddQueue(const Job &job, const Resources &total)
+{
+    const uint32_t size = findOrAddSize(sizeOf(job));
+    Team &team = m_accounts.team(job.team);
+    for (const uint32_t number : team.queues) {
+        if (m_queues[number].size == size && m_queues[number].urgency == job.urgency)
+            return number;
+    }
+    uint32_t number = static_cast<uint32_t>(m_queues.size());
+    if (m_freeQueues.empty()) {
+        m_queues.emplace_back();
+    } else {
+        number = m_freeQueues.back();
+        m_freeQueues.pop_back();
+    }
+    TeamQueue &queue = m_queues[number];
+    queue = TeamQueue();
+    queue.size = size;
+    queue.team = job.team;
+    queue.urgency = job.urgency;
+    queue.share = team.weightedShare(total);
+    team.queues.push_back(number);
+    ++m_sizes[size].queues;
+    enter(number);
+    return number;
+}
+
+void Queue::removeQueue(uint32_t number)
+{
+    TeamQueue &queue = m_queues[number];
+    leave(number);
+    std::erase(m_accounts.team(queue.team).queues, number);
+    SizeState &size = m_sizes[queue.size];
+    if (--size.queues == 0) {
+        unblock(queue.size);
+        m_numbers.erase(size.size);
+        m_freeSizes.push_back(queue.size);
+    }
+    queue.size = noNumber;
+    m_freeQueues.push_back(number);
+}
+
+uint32_t Queue::findOrAddSize(const Size &size)
+{
+    const auto entry = m_numbers.find(size);
+    if (entry != m_numbers.end())
+        return entry->second;
+    uint32_t number = static_cast<uint32_t>(m_sizes.size());
+    if (m_freeSizes.empty()) {
+        m_sizes.emplace_back();
+    } else {
+        number = m_freeSizes.back();
+        m_freeSizes.pop_back();
+    }
+    m_sizes[number] = SizeState();
+    m_sizes[number].size = size;
+    m_numbers.emplace(size, number);
+    return number;
+}
+
+// Section: order
+
+void Queue::enter(uint32_t number)
+{
+    const TeamQueue &queue = m_queues[number];
+    const auto urgency = static_cast<size_t>(queue.urgency);
+    SizeState &size = m_sizes[queue.size];
+    size.ready[urgency].emplace(queue.share, number);
+    if (size.blockedPosition == noNumber)
+        activate(queue.size, urgency);
+}
+
+void Queue::leave(uint32_t number)
+{
+    const TeamQueue &queue = m_queues[number];
+    const auto urgency = static_cast<size_t>(queue.urgency);
+    SizeState &size = m_sizes[queue.size];
+    size.ready[urgency].erase({queue.share, number});
+    if (size.ready[urgency].empty())
+        deactivate(queue.size, urgency);
+}
+
+void Queue::activate(uint32_t number, size_t urgency)
+{
+    SizeState &size = m_sizes[number];
+    if (size.activePosition[urgency] != noNumber || size.ready[urgency].empty())
+        return;
+    size.activePosition[urgency] = static_cast<uint32_t>(m_active[urgency].size());
+    m_active[urgency].push_back(number);
+}
+
+void Queue::deactivate(uint32_t number, size_t urgency)
+{
+    SizeState &size = m_sizes[number];
+    const uint32_t position = size.activePosition[urgency];
+    if (position == noNumber)
+        return;
+    const uint32_t last = m_active[urgency].back();
+    m_active[urgency][position] = last;
+    m_sizes[last].activePosition[urgency] = position;
+    m_active[urgency].pop_back();
+    size.activePosition[urgency] = noNumber;
+}
+
+JobNumber Queue::next(UrgencyClass urgency) const
+{
+    const auto index = static_cast<size_t>(urgency);
+    const std::pair<double, uint32_t> *best = nullptr;
+    for (const uint32_t size : m_active[index]) {
+        const auto &first = *m_sizes[size].ready[index].begin();
+        if (!best || first < *best)
+            best = &first;
+    }
+    return best ? m_queues[best->second].head : noNumber;
+}
+
+JobNumber Queue::nextBlocked(UrgencyClass urgency) const
+{
+    const auto index = static_cast<size_t>(urgency);
+    for (const uint32_t size : m_blocked) {
+        const SizeState &state = m_sizes[size];
+        if (!state.ready[index].empty() && state.size.gang == 0)
+            return m_queues[state.ready[index].begin()->second].head;
+    }
+    return noNumber;
+}
+
+// Section: blocked sizes and parked teams
+
+void Queue::blockSize(JobNumber job)
+{
+    const uint32_t number = m_queues[m_jobs[job].queue].size;
+    SizeState &size = m_sizes[number];
+    if (size.blockedPosition != noNumber)
+        return;
+    size.blockedPosition = static_cast<uint32_t>(m_blocked.size());
+    m_blocked.push_back(number);
+    for (size_t urgency = 0; urgency < urgencyClassCount; ++urgency)
+        deactivate(number, urgency);
+}
+
+void Queue::unblock(uint32_t number)
+{
+    SizeState &size = m_sizes[number];
+    if (size.blockedPosition == noNumber)
+        return;
+    const uint32_t last = m_blocked.back();
+    m_blocked[size.blockedPosition] = last;
+    m_sizes[last].blockedPosition = size.blockedPosition;
+    m_blocked.pop_back();
+    size.blockedPosition = noNumber;
+    for (size_t urgency = 0; urgency < urgencyClassCount; ++urgency)
+        activate(number, urgency);
+}
+
+void Queue::unblockSize(const Size &size)
+{
+    const auto entry = m_numbers.find(size);
+    if (entry != m_numbers.end())
+        unblock(entry->second);
+}
+
+void Queue::unblockGangs()
+{
+    for (size_t i = 0; i < m_blocked.size();) {
+        if (m_sizes[m_blocked[i]].size.gang > 0)
+            unblock(m_blocked[i]);
+        else
+            ++i;
+    }
+}
+
+void Queue::wake(const Resources &free, uint16_t place)
+{
+    for (size_t i = 0; i < m_blocked.size();) {
+        const uint32_t number = m_blocked[i];
+        const Size &size = m_sizes[number].size;
+        const bool isHere = size.place == Fleet::anyPlace || size.place == place;
+        if (size.gang == 0 && isHere && size.each.fitsIn(free))
+            unblock(number); // puts another size at position i
+        else
+            ++i;
+    }
+}
+
+void Queue::parkForQuota(JobNumber job)
+{
+    const uint32_t number = m_jobs[job].queue;
+    leave(number);
+    m_queues[number].isParked = true;
+}
+
+void Queue::teamChanged(TeamNumber number, const Resources &total)
+{
+    Team &team = m_accounts.team(number);
+    const double share = team.weightedShare(total);
+    for (const uint32_t queueNumber : team.queues) {
+        TeamQueue &queue = m_queues[queueNumber];
+        if (!queue.isParked && queue.share == share)
+            continue;
+        // A parked queue stays so while one more task would still pass the quota.
+        const Size &size = m_sizes[queue.size].size;
+        if (queue.isParked) {
+            const int64_t tasks = size.gang == 0 ? 1 : size.gang;
+            if (!team.hasQuotaFor(times(size.each, tasks)))
+                continue;
+        } else {
+            leave(queueNumber);
+        }
+        queue.isParked = false;
+        queue.share = share;
+        enter(queueNumber);
+    }
+}
+
+bool Queue::isBlocked(JobNumber job) const
+{
+    const uint32_t queue = m_jobs[job].queue;
+    return queue != noNumber && m_sizes[m_queues[queue].size].blockedPosition != noNumber;
+}
+
+bool Queue::isParked(JobNumber job) const
+{
+    const uint32_t queue = m_jobs[job].queue;
+    return queue != noNumber && m_queues[queue].isParked;
+}
+
+} // namespace cwl::placement
--- /dev/null
+++ b/src/placement/queue.h
@@ -0,0 +1,115 @@
+// Waiting jobs by class, size and team. The next job of a class is that of the team with the lowest
+// weighted share among the sizes that are not blocked.
+
+#pragma once
+
+#include "placement/accounts.h"
+#include "placement/job.h"
+#include "placement/types.h"
+
+#include <array>
+#include <deque>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace cwl::placement {
+
+// Tasks of one size wait together: when one finds no room, none of them does.
+struct Size
+{
+    Resources each;
+    uint16_t place = 0;
+    uint32_t gang = 0; // number of tasks of a gang, 0 for other kinds
+
+    bool operator==(const Size &) const = default;
+};
+
+struct SizeHash
+{
+    size_t operator()(const Size &size) const noexcept;
+};
+
+class Queue
+{
+public:
+    // Different sizes that may wait at once, since some steps visit each blocked size.
+    static constexpr size_t maxSizes = 4096;
+
+    Queue(std::deque<Job> &jobs, Accounts &accounts)
+        : m_jobs(jobs)
+        , m_accounts(accounts)
+    {
+    }
+
+    static Size sizeOf(const Job &job)
+    {
+        return {job.each, job.place, job.kind == JobKind::Gang ? job.count : 0};
+    }
+    bool isFullOfSizes(const Size &size) const;
+
+    // Adds a job with a ready task; does nothing if it is queued. `isFirst` puts it before the
+    // other jobs of its team, for tasks that come back.
+    void add(JobNumber job, const Resources &total, bool isFirst);
+    void remove(JobNumber job);
+
+    // Returns the job whose turn it is, noNumber if every waiting job is blocked or parked.
+    JobNumber next(UrgencyClass urgency) const;
+
+    // Returns a job of the class whose size is blocked, noNumber if there is none.
+    JobNumber nextBlocked(UrgencyClass urgency) const;
+
+    void blockSize(JobNumber job); // no worker has room for its size
+    void unblockSize(const Size &size);
+    void unblockGangs();
+    void wake(const Resources &free, uint16_t place); // unblocks what fits, gangs excepted
+    void parkForQuota(JobNumber job);                 // its team is at its quota for this size
+    void teamChanged(TeamNumber team, const Resources &total); // its use or quota changed
+
+    bool isBlocked(JobNumber job) const;
+    bool isParked(JobNumber job) const;
+    size_t sizes() const { return m_numbers.size(); }
+
+private:
+    using Order = std::set<std::pair<double, uint32_t>>; // weighted share, queue number
+
+    struct SizeState
+    {
+        Size size = {};
+        uint32_t queues = 0;                 // queues with jobs
+        uint32_t blockedPosition = noNumber; // in m_blocked
+        std::array<Order, urgencyClassCount> ready = {};
+        std::array<uint32_t, urgencyClassCount> activePosition = {noNumber, noNumber, noNumber};
+    };
+    struct TeamQueue
+    {
+        double share = 0; // key in the order
+        uint32_t size = noNumber;
+        TeamNumber team = noNumber;
+        JobNumber head = noNumber;
+        JobNumber tail = noNumber;
+        UrgencyClass urgency = UrgencyClass::Normal;
+        bool isParked = false;
+    };
+
+    uint32_t findOrAddQueue(const Job &job, const Resources &total);
+    uint32_t findOrAddSize(const Size &size);
+    void removeQueue(uint32_t queue);
+    void enter(uint32_t queue);
+    void leave(uint32_t queue);
+    void activate(uint32_t size, size_t urgency);
+    void deactivate(uint32_t size, size_t urgency);
+    void unblock(uint32_t size);
+
+    std::deque<Job> &m_jobs;
+    Accounts &m_accounts;
+    std::vector<SizeState> m_sizes;
+    std::vector<uint32_t> m_freeSizes;
+    std::unordered_map<Size, uint32_t, SizeHash> m_numbers;
+    std::vector<TeamQueue> m_queues;
+    std::vector<uint32_t> m_freeQueues;
+    std::array<std::vector<uint32_t>, urgencyClassCount> m_active; // unblocked sizes with work
+    std::vector<uint32_t> m_blocked;
+};
+
+} // namespace cwl::placement
