Add bench-placement

Cause: the placement library needs figures beside baselines. Ruled out: a simulator of a cluster; the driver only replays seeded arrivals through the library.

--- /dev/null
+++ b/bench/placement/baseline.cpp
@@ -0,0 +1,101 @@
+// Baselines: arrival order and strict priority, both with the first worker that has room.
+
+#include "drive.h"
+
+#include <array>
+#include <list>
+#include <map>
+#include <tuple>
+
+namespace cwl::bench {
+
+namespace {
+
+struct WaitingJob
+{
+    size_t arrival = 0;
+    JobSpec spec;
+    uint32_t next = 0;
+};
+
+class FirstFit : public Scheduler
+{
+public:
+    FirstFit(const std::vector<WorkerSpec> &fleet, bool isStrictPriority)
+        : m_isStrictPriority(isStrictPriority)
+    {
+        for (const WorkerSpec &worker : fleet)
+            m_free.push_back(worker.capacity);
+    }
+
+    void submit(size_t arrival, const JobSpec &spec, TimePoint) override
+    {
+        const size_t queue = m_isStrictPriority ? static_cast<size_t>(spec.urgency) : 0;
+        m_queues[queue].push_back({arrival, spec, 0});
+        m_isDirty = true;
+    }
+
+    void decide(TimePoint, const std::function<void(size_t, TaskRef)> &start,
+                const std::function<void(size_t, TaskRef)> &) override
+    {
+        if (!m_isDirty)
+            return;
+        m_isDirty = false;
+        std::vector<Resources> withoutRoom;
+        for (std::list<WaitingJob> &queue : m_queues) {
+            for (auto job = queue.begin(); job != queue.end();) {
+                while (job->next < job->spec.count && startOne(*job, withoutRoom, start)) {
+                }
+                job = job->next == job->spec.count ? queue.erase(job) : std::next(job);
+                if (withoutRoom.size() >= maxSizes)
+                    return;
+            }
+        }
+    }
+
+    void finish(size_t arrival, TaskRef task, TimePoint) override
+    {
+        const auto entry = m_running.find({arrival, task.index});
+        m_free[entry->second.first] = m_free[entry->second.first] + entry->second.second;
+        m_running.erase(entry);
+        m_isDirty = true;
+    }
+
+private:
+    static constexpr size_t maxSizes = 64; // sizes without room after which a pass ends
+
+    bool startOne(WaitingJob &job, std::vector<Resources> &withoutRoom,
+                  const std::function<void(size_t, TaskRef)> &start)
+    {
+        for (const Resources &size : withoutRoom) {
+            if (size == job.spec.each)
+                return false;
+        }
+        for (size_t worker = 0; worker < m_free.size(); ++worker) {
+            if (!job.spec.each.fitsIn(m_free[worker]))
+                continue;
+            m_free[worker] = m_free[worker] - job.spec.each;
+            m_running[{job.arrival, job.next}] = {worker, job.spec.each};
+            start(job.arrival, {0, job.next++});
+            return true;
+        }
+        withoutRoom.push_back(job.spec.each);
+        return false;
+    }
+
+    bool m_isStrictPriority = false;
+    bool m_isDirty = false;
+    std::vector<Resources> m_free; // by worker
+    std::array<std::list<WaitingJob>, 3> m_queues;
+    std::map<std::pair<size_t, uint32_t>, std::pair<size_t, Resources>> m_running;
+};
+
+} // namespace
+
+std::unique_ptr<Scheduler> firstFitScheduler(const std::vector<WorkerSpec> &fleet,
+                                             bool isStrictPriority)
+{
+    return std::make_unique<FirstFit>(fleet, isStrictPriority);
+}
+
+} // namespace cwl::bench
--- /dev/null
+++ b/bench/placement/drive.h
@@ -0,0 +1,90 @@
+// Drives a scheduler through seeded arrivals, with time as a number. It is not a simulator of a
+// cluster: a task that was started ends after its run time and nothing fails.
+
+#pragma once
+
+#include "placement/planner.h"
+
+#include <cstdio>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace cwl::bench {
+
+using placement::JobSpec;
+using placement::TaskRef;
+using placement::UrgencyClass;
+using placement::WorkerSpec;
+
+inline void print(const std::string &name, double value, const char *unit)
+{
+    std::printf("%s %.6g %s\n", name.c_str(), value, unit);
+    std::fflush(stdout);
+}
+
+inline Resources sized(int64_t cores, int64_t memory, int64_t accelerators)
+{
+    return {Millicores(cores), Mebibytes(memory), Accelerators(accelerators)};
+}
+
+double percentile(std::vector<double> &values, double part);
+
+// The two deployments of docs/design.md, section 1.6, repeated to the given number of workers.
+std::vector<WorkerSpec> mocionesFleet(size_t workers);
+std::vector<WorkerSpec> yarmoukFleet(size_t workers);
+
+// A job that arrives, with the true run time of its tasks.
+struct Arrival
+{
+    JobSpec spec;
+    double at = 0;        // seconds
+    double run = 0;       // seconds
+    bool isFlood = false; // not counted as the work that is to be protected
+};
+
+// What is driven: the planner, or a baseline.
+class Scheduler
+{
+public:
+    virtual ~Scheduler() = default;
+    virtual void submit(size_t arrival, const JobSpec &spec, TimePoint now) = 0;
+    // Calls `start` for each task started and `stop` for each one preempted.
+    virtual void decide(TimePoint now, const std::function<void(size_t, TaskRef)> &start,
+                        const std::function<void(size_t, TaskRef)> &stop) = 0;
+    virtual void finish(size_t arrival, TaskRef task, TimePoint now) = 0;
+};
+
+std::unique_ptr<Scheduler> plannerScheduler(const std::vector<WorkerSpec> &fleet, size_t teams);
+// Arrival order, or class and then arrival order; the first worker with room; sizes without room
+// are passed over.
+std::unique_ptr<Scheduler> firstFitScheduler(const std::vector<WorkerSpec> &fleet,
+                                             bool isStrictPriority);
+
+struct DriveResult
+{
+    double makespan = 0;            // seconds until the last task ended
+    std::vector<double> waits[3];   // seconds, by class, without the flood
+    double coreSeconds[3] = {};     // of work in the window, without the flood
+    double floodCoreSeconds = 0;    // of the flood in the window
+    double capacityCoreSeconds = 0; // of the fleet in the window
+    size_t preemptions = 0;
+};
+
+struct Window
+{
+    double from = 0;
+    double to = 1e18;
+};
+
+// Runs all arrivals to their end, or to `until` seconds. Waits count for tasks that arrive in the
+// window; one that has not started by the end counts with its wait so far.
+DriveResult drive(Scheduler &scheduler, const std::vector<Arrival> &arrivals,
+                  const std::vector<WorkerSpec> &fleet, Window window, double until);
+
+void benchRates(uint64_t seed); // rates.cpp
+void benchWaits(uint64_t seed); // waits.cpp
+
+} // namespace cwl::bench
--- /dev/null
+++ b/bench/placement/main.cpp
@@ -0,0 +1,28 @@
+// Benchmarks of the placement decisions, each beside its baselines in the same run.
+
+#include "drive.h"
+
+#include <docopt/docopt.h>
+
+namespace {
+
+constexpr const char *usage = R"(Usage: bench-placement [--seed N]
+
+Prints one figure a line: name, value, unit. Figures of baselines end in .first_fit,
+.strict_priority or .arrival_order.
+
+Options:
+  --seed N  Seed of the arrivals. [default: 1]
+)";
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auto arguments = docopt::docopt(usage, {argv + 1, argv + argc});
+    const auto seed = static_cast<uint64_t>(arguments.at("--seed").asLong());
+    cwl::bench::print("placement.seed", static_cast<double>(seed), "seed");
+    cwl::bench::benchRates(seed);
+    cwl::bench::benchWaits(seed);
+    return 0;
+}
--- /dev/null
+++ b/bench/placement/waits.cpp
@@ -0,0 +1,227 @@
+// Packing of both deployments, and waiting times with and without floods.
+
+#include "drive.h"
+
+#include <algorithm>
+#include <array>
+
+namespace cwl::bench {
+
+namespace {
+
+using namespace cwl::placement;
+
+constexpr const char *classNames[] = {"urgent", "normal", "deferred"};
+constexpr double noEnd = 1e18;
+
+struct Mix
+{
+    Resources each;
+    int weight = 1; // relative number of jobs
+};
+
+// Sizes of the work that each deployment runs.
+const std::vector<Mix> mocionesMix = {{sized(500, 1024, 0), 6},   {sized(1000, 4096, 0), 6},
+                                      {sized(2000, 8192, 0), 3},  {sized(3000, 10240, 0), 2},
+                                      {sized(6000, 20480, 0), 2}, {sized(8000, 32768, 1), 2},
+                                      {sized(14000, 65536, 2), 1}};
+const std::vector<Mix> yarmoukMix = {{sized(1000, 2048, 0), 6},   {sized(2000, 4096, 0), 6},
+                                     {sized(7000, 12288, 0), 3},  {sized(20000, 40960, 0), 2},
+                                     {sized(30000, 49152, 0), 1}, {sized(16000, 32768, 1), 2},
+                                     {sized(30000, 65536, 3), 1}};
+
+class Source
+{
+public:
+    Source(const std::vector<Mix> &mix, uint64_t seed)
+        : m_mix(mix)
+        , m_random(seed)
+    {
+        for (const Mix &each : mix)
+            m_weights += each.weight;
+    }
+
+    Arrival next(double at, double meanRun)
+    {
+        Arrival arrival;
+        arrival.at = at;
+        arrival.run =
+                std::clamp(std::exponential_distribution(1 / meanRun)(m_random), 1.0, 10 * meanRun);
+        arrival.spec.id = JobId("job" + std::to_string(m_jobs++));
+        arrival.spec.team = TeamId("team" + std::to_string(m_random() % 40));
+        const uint64_t urgency = m_random() % 10;
+        arrival.spec.urgency = urgency < 3 ? UrgencyClass::Urgent
+                : urgency < 7              ? UrgencyClass::Normal
+                                           : UrgencyClass::Deferred;
+        arrival.spec.each = drawSize();
+        // Declared run times are off by up to ten times.
+        const double error = std::uniform_real_distribution(-1.0, 1.0)(m_random);
+        arrival.spec.run = std::chrono::duration_cast<Duration>(
+                std::chrono::duration<double>(arrival.run * std::pow(10.0, error)));
+        return arrival;
+    }
+
+    double gap(double perSecond) { return std::exponential_distribution(perSecond)(m_random); }
+
+private:
+    Resources drawSize()
+    {
+        auto drawn = static_cast<int>(m_random() % static_cast<uint64_t>(m_weights));
+        for (const Mix &each : m_mix) {
+            drawn -= each.weight;
+            if (drawn < 0)
+                return each.each;
+        }
+        return m_mix.front().each;
+    }
+
+    const std::vector<Mix> &m_mix;
+    std::mt19937_64 m_random;
+    int m_weights = 0;
+    size_t m_jobs = 0;
+};
+
+std::array<double, 3> amounts(const Resources &resources)
+{
+    return {static_cast<double>(resources.cores.value()),
+            static_cast<double>(resources.memory.value()),
+            static_cast<double>(resources.accelerators.value())};
+}
+
+// No schedule is shorter: the work in each dimension by the fleet's capacity, or the longest task.
+double makespanBound(const std::vector<Arrival> &arrivals, const std::vector<WorkerSpec> &fleet)
+{
+    std::array<double, 3> work = {};
+    std::array<double, 3> capacity = {};
+    double longest = 0;
+    for (const Arrival &arrival : arrivals) {
+        for (size_t i = 0; i < 3; ++i)
+            work[i] += amounts(arrival.spec.each)[i] * arrival.run * arrival.spec.count;
+        longest = std::max(longest, arrival.run);
+    }
+    for (const WorkerSpec &worker : fleet) {
+        for (size_t i = 0; i < 3; ++i)
+            capacity[i] += amounts(worker.capacity)[i];
+    }
+    double bound = longest;
+    for (size_t i = 0; i < 3; ++i)
+        bound = std::max(bound, work[i] / capacity[i]);
+    return bound;
+}
+
+void benchPacking(const std::string &name, const std::vector<WorkerSpec> &fleet,
+                  const std::vector<Mix> &mix, uint64_t seed)
+{
+    Source source(mix, seed);
+    std::vector<Arrival> arrivals;
+    for (size_t job = 0; job < 6000; ++job)
+        arrivals.push_back(source.next(0, 60));
+    const double bound = makespanBound(arrivals, fleet);
+    const auto report = [&](const std::string &suffix, std::unique_ptr<Scheduler> scheduler) {
+        const DriveResult result = drive(*scheduler, arrivals, fleet, {}, noEnd);
+        print("packing." + name + suffix, bound / result.makespan, "ratio");
+    };
+    report("", plannerScheduler(fleet, 40));
+    report(".first_fit", firstFitScheduler(fleet, false));
+    report(".strict_priority", firstFitScheduler(fleet, true));
+}
+
+// Section: floods
+
+constexpr double floodAt = 600;  // seconds
+constexpr double measured = 900; // seconds from the start of the flood
+
+std::vector<Arrival> usualArrivals(uint64_t seed, const std::vector<WorkerSpec> &fleet)
+{
+    // A load of about 60% of the cores: the mean task has 2.9 cores and runs 60 s.
+    double cores = 0;
+    for (const WorkerSpec &worker : fleet)
+        cores += static_cast<double>(worker.capacity.cores.value()) / 1000;
+    const double perSecond = 0.6 * cores / (2.9 * 60);
+    Source source(mocionesMix, seed);
+    std::vector<Arrival> arrivals;
+    for (double at = 0; at < floodAt + measured; at += source.gap(perSecond))
+        arrivals.push_back(source.next(at, 60));
+    return arrivals;
+}
+
+// Tasks of one core for ten times the fleet's cores, from one team, within 10 s.
+void addFlood(std::vector<Arrival> &arrivals, const std::vector<WorkerSpec> &fleet,
+              UrgencyClass urgency)
+{
+    int64_t cores = 0;
+    for (const WorkerSpec &worker : fleet)
+        cores += worker.capacity.cores.value() / 1000;
+    constexpr uint32_t tasksPerJob = 100;
+    const int64_t jobs = cores * 10 / tasksPerJob;
+    for (int64_t job = 0; job < jobs; ++job) {
+        Arrival arrival;
+        arrival.at = floodAt + 10.0 * static_cast<double>(job) / static_cast<double>(jobs);
+        arrival.run = 120;
+        arrival.isFlood = true;
+        arrival.spec.id = JobId("flood" + std::to_string(job));
+        arrival.spec.team = TeamId("team40");
+        arrival.spec.urgency = urgency;
+        arrival.spec.count = tasksPerJob;
+        arrival.spec.each = sized(1000, 2048, 0);
+        arrival.spec.run = seconds(120);
+        arrivals.push_back(arrival);
+    }
+    std::stable_sort(arrivals.begin(), arrivals.end(),
+                     [](const Arrival &one, const Arrival &other) { return one.at < other.at; });
+}
+
+using MakeScheduler = std::unique_ptr<Scheduler> (*)(const std::vector<WorkerSpec> &);
+
+void benchFloods(const std::string &suffix, MakeScheduler make, uint64_t seed)
+{
+    const std::vector<WorkerSpec> fleet = mocionesFleet(48);
+    const Window window{floodAt, floodAt + measured};
+    const char *cases[] = {"no_flood", "flood_deferred", "flood_urgent"};
+    double usual[3] = {};
+    for (int number = 0; number < 3; ++number) {
+        std::vector<Arrival> arrivals = usualArrivals(seed, fleet);
+        if (number > 0)
+            addFlood(arrivals, fleet, number == 1 ? UrgencyClass::Deferred : UrgencyClass::Urgent);
+        const std::unique_ptr<Scheduler> scheduler = make(fleet);
+        DriveResult result = drive(*scheduler, arrivals, fleet, window, window.to);
+        const std::string tail = std::string(".") + cases[number] + suffix;
+        double work = result.floodCoreSeconds;
+        for (size_t urgency = 0; urgency < 3; ++urgency) {
+            const std::string wait = std::string("wait.") + classNames[urgency];
+            print(wait + ".p50" + tail, percentile(result.waits[urgency], 0.5), "s");
+            print(wait + ".p99" + tail, percentile(result.waits[urgency], 0.99), "s");
+            work += result.coreSeconds[urgency];
+            if (number == 0)
+                usual[urgency] = result.coreSeconds[urgency];
+            else
+                print(std::string("flood.kept.") + classNames[urgency] + tail,
+                      result.coreSeconds[urgency] / usual[urgency], "ratio");
+        }
+        if (number > 0) {
+            print("flood.idle_share" + tail, 1 - work / result.capacityCoreSeconds, "ratio");
+            print("flood.preemptions" + tail, static_cast<double>(result.preemptions), "tasks");
+        }
+    }
+}
+
+} // namespace
+
+void benchWaits(uint64_t seed)
+{
+    benchPacking("mociones", mocionesFleet(48), mocionesMix, seed);
+    benchPacking("yarmouk", yarmoukFleet(48), yarmoukMix, seed);
+    benchFloods(
+            "", [](const std::vector<WorkerSpec> &fleet) { return plannerScheduler(fleet, 41); },
+            seed);
+    benchFloods(
+            ".first_fit",
+            [](const std::vector<WorkerSpec> &fleet) { return firstFitScheduler(fleet, false); },
+            seed);
+    benchFloods(
+            ".strict_priority",
+            [](const std::vector<WorkerSpec> &fleet) { return firstFitScheduler(fleet, true); },
+            seed);
+}
+
+} // namespace cwl::bench
