--- a/src/placement/tasks.cpp
+++ b/src/placement/tasks.cpp
@@ -240,6 +240,7 @@
         return;
     if (job.kind == JobKind::Batch && taskTrouble.failures >= maxFailures) {
         taskTrouble.isGivenUp = true;
+        result.isGivenUp = true;
         ++job.failed;
     } else {
         taskTrouble.isDelayed = true;
--- /dev/null
+++ b/src/scheduler/groupowner.h
@@ -0,0 +1,196 @@
+// The owner of one worker group while this process owns it: its jobs, workers and running tasks.
+//
+// Placement is decided by placement::Planner. This class carries the decisions out: it sends starts
+// with leases that end within this member's validity, renews leases of tasks that workers have
+// acknowledged, takes reports as the truth of what runs, and writes outcomes to the store before it
+// acknowledges them to a worker.
+
+#pragma once
+
+#include "metrics/metrics.h"
+#include "ownership/member.h"
+#include "placement/planner.h"
+#include "platform/platform.h"
+#include "scheduler/jobrecord.h"
+#include "scheduler/jobstore.h"
+#include "scheduler/reconciliation.h"
+#include "scheduler/tasklife.h"
+#include "scheduler/workerclock.h"
+#include "scheduler/workerlink.h"
+#include "settings/cellsettings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cwl::scheduler {
+
+struct OwnerPorts
+{
+    boost::asio::io_context &control;
+    boost::asio::io_context &traffic;
+    platform::Client &platform;
+    metrics::Registry &metrics;
+    std::function<TimePoint()> validUntil; // nothing is sent at or after this instant
+};
+
+// All calls and callbacks are on the control thread.
+class GroupOwner : public std::enable_shared_from_this<GroupOwner>
+{
+public:
+    using SharedSettings = std::shared_ptr<const settings::CellSettings>;
+    using JsonCallback = std::function<void(absl::StatusOr<Json::Value>)>;
+
+    static std::shared_ptr<GroupOwner> create(OwnerPorts ports,
+                                              const ownership::Acquisition &acquisition,
+                                              const SharedSettings &settings);
+
+    void start();
+    void setSettings(const SharedSettings &settings);
+    void setWorkers(const std::vector<platform::Instance> &workers); // of this group
+    void release(std::function<void()> done); // starts nothing more; `done` when no start is open
+    void close();                             // acts on nothing from now on
+
+    // Section: jobs. Answers are those of docs/design.md, section 9.4.
+
+    void submit(const Json::Value &body, JsonCallback callback);
+    void cancel(const JobId &job, JsonCallback callback);
+    absl::StatusOr<Json::Value> show(const JobId &job) const;
+    absl::StatusOr<Json::Value> explain(const JobId &job) const;
+    Json::Value list() const;
+
+    // Section: workers
+
+    Json::Value workers() const;
+    absl::Status setDraining(const WorkerId &worker, bool isDraining);
+
+    Json::Value state() const;
+
+private:
+    using TimerClock = std::chrono::steady_clock;
+
+    struct JobEntry
+    {
+        JobRecord record;
+        bool isDurable = false;  // the store has it
+        bool isRestored = false; // accepted in an earlier epoch, waits for the reconciliation
+    };
+    struct Task
+    {
+        placement::TaskRef ref;
+        JobId job;
+        uint32_t index = 0;
+        Attempt attempt;
+        Epoch epoch; // of its start
+        WorkerId worker;
+        TaskLife life;
+        TimePoint renewedUntil = {};  // end of the last lease that the worker acknowledged
+        bool isStopWanted = false;
+        bool isStopUnderWay = false;
+        bool isThrottled = false;     // at 0%, of a gang that has not been released
+    };
+    struct WorkerEntry
+    {
+        platform::Instance instance;
+        placement::WorkerNumber number = placement::noNumber;
+        std::shared_ptr<WorkerLink> link;
+        WorkerClock clock;
+        std::set<TaskId> tasks = {};
+        std::set<std::pair<TaskId, int64_t>> unsaved = {}; // finished attempts being written
+        TimePoint reportedAt = {};
+        bool isReachable = false;
+        bool isRenewing = false;
+        bool isDraining = false; // by an operator
+    };
+    // A gang between its first start and its release.
+    struct GangStart
+    {
+        TimePoint deadline;
+        std::vector<TaskId> tasks;
+    };
+
+    GroupOwner(OwnerPorts ports, const ownership::Acquisition &acquisition);
+
+    // groupowner.cpp
+    void load();
+    void loaded(std::vector<JobRecord> records);
+    void tick();
+    void pumpSoon();
+    void pump();
+    void finishReconciliation();
+    void resumeGang(const JobId &job);
+    void answerSubmit(JobEntry &job, bool isNew, JsonCallback callback);
+    void undoSubmit(const JobId &job);
+    bool isValid() const;
+    absl::Status checkLoaded() const;
+
+    // groupworkers.cpp
+    void addWorker(const platform::Instance &instance);
+    void updateDraining(const WorkerEntry &worker);
+    void removeWorker(const WorkerId &worker);
+    void reported(const WorkerId &worker, const WorkerReport &report, TimePoint askedAt,
+                  TimePoint receivedAt);
+    void lost(const WorkerId &worker, const absl::Status &status);
+    void takeFinished(WorkerEntry &worker, const WorkerReport &report);
+    // Returns the ids of tasks that run on the worker and must not.
+    std::vector<TaskId> takeRunning(WorkerEntry &worker, const WorkerReport &report,
+                                    TimePoint askedAt);
+    bool adopt(WorkerEntry &worker, const ReportedTask &reported);
+    void takeOutcome(WorkerEntry &worker, const FinishedTask &finished);
+    bool recordSuccess(WorkerEntry &worker, const FinishedTask &finished);
+    void acknowledgeSaved(const WorkerId &worker, const std::pair<TaskId, int64_t> &attempt);
+    void acknowledge(WorkerEntry &worker, const std::vector<std::pair<TaskId, int64_t>> &attempts);
+
+    // grouptasks.cpp
+    void carryOut(const placement::Decision &decision);
+    void startTasks(const placement::Decision &decision);
+    Json::Value startMessage(const Task &task, const JobRecord &record, int64_t leaseMs) const;
+    void startAnswered(const WorkerId &worker, const std::vector<TaskId> &tasks,
+                       const absl::StatusOr<Json::Value> &answer);
+    void takeStartResult(const TaskId &id, const std::string &result);
+    void endTask(const TaskId &id, placement::Outcome outcome);
+    void jobChanged(JobEntry &job, JobStore::Saved saved = {});
+    void wantStop(const TaskId &id);
+    void sendStops(WorkerEntry &worker, const std::vector<TaskId> &ids);
+    void stopPreempted(const std::vector<placement::Assignment> &victims);
+    void renewTasks();
+    void renew(WorkerEntry &worker);
+    void checkGangs();
+    void releaseGang(const std::vector<TaskId> &tasks);
+    void expireTasks();
+    Task *find(const TaskId &id);
+
+    OwnerPorts m_ports;
+    GroupId m_group;
+    Epoch m_epoch;
+    Reconciliation m_reconciliation;
+    placement::Planner m_planner;
+    placement::Decision m_decision;
+    std::shared_ptr<JobStore> m_store;
+    SharedSettings m_settings;
+    std::map<JobId, JobEntry> m_jobs;
+    std::unordered_map<TaskId, Task> m_tasks;
+    std::map<WorkerId, WorkerEntry> m_workers;
+    std::map<JobId, GangStart> m_gangs;
+    std::vector<platform::Instance> m_listed; // until the jobs are loaded
+    std::function<void()> m_released;
+    boost::asio::steady_timer m_tickTimer;
+    boost::asio::steady_timer m_loadTimer;
+    metrics::Counter &m_started;
+    metrics::Counter &m_placed;
+    bool m_isLoaded = false;
+    bool m_hasWorkers = false;
+    bool m_isResumed = false;
+    bool m_isPumpQueued = false;
+    bool m_isReleasing = false;
+    bool m_isClosed = false;
+};
+
+} // namespace cwl::scheduler
--- /dev/null
+++ b/src/scheduler/groups.cpp
@@ -0,0 +1,357 @@
+#include "scheduler/groups.h"
+
+#include "base/error.h"
+#include "node/log.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/post.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace cwl::scheduler {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr auto instancesInterval = std::chrono::milliseconds(1000);
+constexpr Duration instancesDeadline = seconds(3);
+constexpr Duration callDeadline = seconds(5);
+constexpr const char *submitMethod = "job.submit";
+constexpr const char *cancelMethod = "job.cancel";
+constexpr const char *showMethod = "job.show";
+constexpr const char *listMethod = "job.list";
+constexpr const char *explainMethod = "job.explain";
+
+Json::Value jobParameters(const JobId &job)
+{
+    Json::Value parameters;
+    parameters["jobId"] = job.value();
+    return parameters;
+}
+
+} // namespace
+
+Groups::Groups(Ports ports)
+    : m_ports(std::move(ports))
+    , m_instancesTimer(m_ports.control)
+{
+    for (const char *method :
+         {submitMethod, cancelMethod, showMethod, listMethod, explainMethod})
+        addMethod(method);
+}
+
+void Groups::addMethod(const std::string &name)
+{
+    m_ports.rpcServer.add(name, [this, name](const rpc::Message &message, const rpc::Reply &reply) {
+        asio::post(m_ports.control, [this, name, content = message.content, reply] {
+            if (!content.isObject() || !content["group"].isString()) {
+                reply(makeError(Failure::MissingField, "the call names no group",
+                                {.field = "group"}));
+                return;
+            }
+            serve(name, GroupId(content["group"].asString()), content["parameters"],
+                  [reply](absl::StatusOr<Json::Value> answer) {
+                      if (answer.ok())
+                          reply(rpc::Message{.content = *std::move(answer)});
+                      else
+                          reply(answer.status());
+                  });
+        });
+    });
+}
+
+std::vector<GroupId> Groups::groupsOf(const settings::CellSettings &settings)
+{
+    std::vector<GroupId> groups;
+    for (const std::string &name : settings.cell.workerGroups)
+        groups.emplace_back("worker/" + name);
+    return groups;
+}
+
+void Groups::start()
+{
+    readInstances();
+}
+
+void Groups::setSettings(const SharedSettings &settings)
+{
+    m_settings = settings;
+    m_groups = groupsOf(*settings);
+    for (const auto &[group, owner] : m_owners)
+        owner->setSettings(settings);
+}
+
+// Section: ownership
+
+void Groups::acquired(const ownership::Acquisition &acquisition)
+{
+    log::info("group_acquired", {{"group", acquisition.group.value()},
+                                 {"epoch", acquisition.epoch.value()}});
+    lost(acquisition.group);
+    const auto owner = GroupOwner::create(
+            OwnerPorts{m_ports.control, m_ports.traffic, m_ports.platform, m_ports.metrics,
+                       [this] { return m_ports.member()->validUntil(); }},
+            acquisition, m_settings);
+    m_owners[acquisition.group] = owner;
+    owner->start();
+    readInstances();
+}
+
+void Groups::lost(const GroupId &group)
+{
+    const auto found = m_owners.find(group);
+    if (found == m_owners.end())
+        return;
+    log::info("group_lost", {{"group", group.value()}});
+    found->second->close();
+    m_owners.erase(found);
+}
+
+void Groups::release(const GroupId &group, std::function<void()> done)
+{
+    const auto found = m_owners.find(group);
+    if (found == m_owners.end()) {
+        done();
+        return;
+    }
+    found->second->release([this, group, done = std::move(done)] {
+        lost(group);
+        done();
+    });
+}
+
+// Section: calls to the owner
+
+void Groups::serve(const std::string &method, const GroupId &group, const Json::Value &parameters,
+                   Callback callback)
+{
+    const auto found = m_owners.find(group);
+    const ownership::Member *member = m_ports.member();
+    if (found == m_owners.end() || !member->owns(group)) {
+        callback(makeError(Failure::NotOwner,
+                           absl::StrCat(group.value(), " is not owned by this process"),
+                           {.retryAfterMs = 500}));
+        return;
+    }
+    GroupOwner &owner = *found->second;
+    const JobId job(parameters.isObject() ? parameters.get("jobId", "").asString() : "");
+    if (method == submitMethod)
+        owner.submit(parameters, std::move(callback));
+    else if (method == cancelMethod)
+        owner.cancel(job, std::move(callback));
+    else if (method == showMethod)
+        callback(owner.show(job));
+    else if (method == explainMethod)
+        callback(owner.explain(job));
+    else
+        callback(owner.list());
+}
+
+void Groups::callOwner(const std::string &method, const GroupId &group,
+                       const Json::Value &parameters, Callback callback)
+{
+    if (m_owners.count(group) > 0 && m_ports.member()->owns(group)) {
+        serve(method, group, parameters, std::move(callback));
+        return;
+    }
+    const auto owner = m_ports.member()->ownerOf(group);
+    if (!owner || owner->id == m_ports.member()->self().id) {
+        callback(makeError(Failure::NoOwner,
+                           absl::StrCat(group.value(), " has no owner at the moment"),
+                           {.retryAfterMs = 1000}));
+        return;
+    }
+    rpc::Message message;
+    message.content["group"] = group.value();
+    message.content["parameters"] = parameters;
+    m_ports.rpcClient.call(
+            owner->rpcAddress, method, std::move(message), BootClock::now() + callDeadline,
+            [this, callback = std::move(callback)](absl::StatusOr<rpc::Message> answer) {
+                asio::post(m_ports.control, [callback, answer = std::move(answer)] {
+                    if (answer.ok())
+                        callback(answer->content);
+                    else
+                        callback(answer.status());
+                });
+            });
+}
+
+void Groups::callUntilKnown(const std::string &method, const Json::Value &parameters, size_t next,
+                            Callback callback)
+{
+    if (next >= m_groups.size()) {
+        callback(makeError(Failure::UnknownJob, "no worker group knows the job",
+                           {.field = "jobId"}));
+        return;
+    }
+    callOwner(method, m_groups[next], parameters,
+              [this, method, parameters, next,
+               callback = std::move(callback)](absl::StatusOr<Json::Value> answer) {
+                  const bool isElsewhere = failureOf(answer.status()) == Failure::UnknownJob
+                          && next + 1 < m_groups.size();
+                  if (isElsewhere)
+                      callUntilKnown(method, parameters, next + 1, callback);
+                  else
+                      callback(std::move(answer));
+              });
+}
+
+absl::StatusOr<GroupId> Groups::groupForJob(const Json::Value &body) const
+{
+    if (m_groups.empty())
+        return makeError(Failure::NotReady, "the cell settings are not known yet",
+                         {.retryAfterMs = 500});
+    const auto spec = jobFromJson(body);
+    if (!spec.ok())
+        return spec.status();
+    if (spec->dataCentre) {
+        const GroupId named("worker/" + spec->dataCentre->value());
+        if (std::find(m_groups.begin(), m_groups.end(), named) != m_groups.end())
+            return named;
+    }
+    // By the id, so that a repeat reaches the owner that accepted the first.
+    const std::string &id = spec->id.value();
+    return m_groups[XXH3_64bits(id.data(), id.size()) % m_groups.size()];
+}
+
+void Groups::submit(const Json::Value &body, Callback callback)
+{
+    const auto group = groupForJob(body);
+    if (group.ok())
+        callOwner(submitMethod, *group, body, std::move(callback));
+    else
+        callback(group.status());
+}
+
+void Groups::cancel(const JobId &job, Callback callback)
+{
+    callUntilKnown(cancelMethod, jobParameters(job), 0, std::move(callback));
+}
+
+void Groups::show(const JobId &job, Callback callback)
+{
+    callUntilKnown(showMethod, jobParameters(job), 0, std::move(callback));
+}
+
+void Groups::explain(const JobId &job, Callback callback)
+{
+    callUntilKnown(explainMethod, jobParameters(job), 0, std::move(callback));
+}
+
+void Groups::list(Callback callback)
+{
+    listFrom(0, Json::Value(Json::arrayValue), std::move(callback));
+}
+
+void Groups::listFrom(size_t next, Json::Value jobs, Callback callback)
+{
+    if (next >= m_groups.size()) {
+        Json::Value answer;
+        answer["jobs"] = std::move(jobs);
+        callback(std::move(answer));
+        return;
+    }
+    callOwner(listMethod, m_groups[next], Json::Value(Json::objectValue),
+              [this, next, jobs = std::move(jobs),
+               callback = std::move(callback)](absl::StatusOr<Json::Value> answer) mutable {
+                  if (!answer.ok()) {
+                      callback(answer.status());
+                      return;
+                  }
+                  for (const Json::Value &job : *answer)
+                      jobs.append(job);
+                  listFrom(next + 1, std::move(jobs), std::move(callback));
+              });
+}
+
+// Section: workers
+
+Json::Value Groups::workers() const
+{
+    Json::Value answer;
+    answer["workers"] = Json::Value(Json::arrayValue);
+    for (const auto &[group, owner] : m_owners) {
+        for (const Json::Value &worker : owner->workers())
+            answer["workers"].append(worker);
+    }
+    return answer;
+}
+
+absl::Status Groups::setDraining(const WorkerId &worker, bool isDraining)
+{
+    for (const auto &[group, owner] : m_owners) {
+        const absl::Status status = owner->setDraining(worker, isDraining);
+        if (status.ok())
+            return status;
+    }
+    return makeError(Failure::UnknownWorker,
+                     absl::StrCat("worker \"", worker.value(),
+                                  "\" is in no group that this process owns"),
+                     {.field = "worker"});
+}
+
+// With one group, all workers; otherwise the group is named after the data centre.
+GroupId Groups::groupOfWorker(const platform::Instance &instance) const
+{
+    if (m_groups.size() == 1)
+        return m_groups.front();
+    return GroupId("worker/" + instance.dataCentre.value());
+}
+
+void Groups::readInstances()
+{
+    if (m_owners.empty()) {
+        readInstancesLater();
+        return;
+    }
+    // A list that was asked for before a takeover says nothing about the time after it.
+    std::vector<std::weak_ptr<GroupOwner>> askedFor;
+    for (const auto &[group, owner] : m_owners)
+        askedFor.push_back(owner);
+    m_ports.platform.instances(
+            BootClock::now() + instancesDeadline,
+            [this, askedFor](const absl::StatusOr<std::vector<platform::Instance>> &instances) {
+                if (instances.ok())
+                    takeInstances(*instances, askedFor);
+                readInstancesLater();
+            });
+}
+
+void Groups::takeInstances(const std::vector<platform::Instance> &instances,
+                           const std::vector<std::weak_ptr<GroupOwner>> &askedFor)
+{
+    std::map<GroupId, std::vector<platform::Instance>> byGroup;
+    for (const platform::Instance &instance : instances) {
+        if (instance.kind == platform::InstanceKind::Worker)
+            byGroup[groupOfWorker(instance)].push_back(instance);
+    }
+    for (const std::weak_ptr<GroupOwner> &asked : askedFor) {
+        const std::shared_ptr<GroupOwner> owner = asked.lock();
+        for (const auto &[group, current] : m_owners) {
+            if (owner && current == owner)
+                owner->setWorkers(byGroup[group]);
+        }
+    }
+}
+
+void Groups::readInstancesLater()
+{
+    m_instancesTimer.expires_after(instancesInterval);
+    m_instancesTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            readInstances();
+    });
+}
+
+Json::Value Groups::state() const
+{
+    Json::Value state(Json::arrayValue);
+    for (const auto &[group, owner] : m_owners)
+        state.append(owner->state());
+    return state;
+}
+
+} // namespace cwl::scheduler
--- /dev/null
+++ b/src/scheduler/groups.h
@@ -0,0 +1,93 @@
+// The worker groups of the cell: those owned here, and calls to the owners of the others.
+
+#pragma once
+
+#include "metrics/metrics.h"
+#include "ownership/member.h"
+#include "platform/platform.h"
+#include "rpc/rpc.h"
+#include "scheduler/groupowner.h"
+#include "settings/cellsettings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <json/value.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cwl::scheduler {
+
+// All calls and callbacks are on the control thread.
+class Groups
+{
+public:
+    using SharedSettings = std::shared_ptr<const settings::CellSettings>;
+    using Callback = std::function<void(absl::StatusOr<Json::Value>)>;
+
+    struct Ports
+    {
+        boost::asio::io_context &control;
+        boost::asio::io_context &traffic;
+        platform::Client &platform;
+        rpc::Server &rpcServer;
+        rpc::Client &rpcClient;
+        metrics::Registry &metrics;
+        std::function<ownership::Member *()> member;
+    };
+
+    explicit Groups(Ports ports);
+
+    void start();
+    void setSettings(const SharedSettings &settings);
+
+    // Section: ownership
+
+    void acquired(const ownership::Acquisition &acquisition);
+    void lost(const GroupId &group);
+    void release(const GroupId &group, std::function<void()> done);
+
+    // Section: operators. Each call goes to the owner of the group, here or elsewhere.
+
+    void submit(const Json::Value &body, Callback callback);
+    void cancel(const JobId &job, Callback callback);
+    void show(const JobId &job, Callback callback);
+    void explain(const JobId &job, Callback callback);
+    void list(Callback callback);
+    Json::Value workers() const; // of the groups that are owned here
+    absl::Status setDraining(const WorkerId &worker, bool isDraining);
+
+    Json::Value state() const;
+
+    static std::vector<GroupId> groupsOf(const settings::CellSettings &settings);
+
+private:
+    using Answers = std::shared_ptr<std::vector<Json::Value>>;
+
+    void addMethod(const std::string &name);
+    void serve(const std::string &method, const GroupId &group, const Json::Value &parameters,
+               Callback callback);
+    void callOwner(const std::string &method, const GroupId &group, const Json::Value &parameters,
+                   Callback callback);
+    // Asks the owners one after the other until one knows the job.
+    void callUntilKnown(const std::string &method, const Json::Value &parameters, size_t next,
+                        Callback callback);
+    void listFrom(size_t next, Json::Value jobs, Callback callback);
+    absl::StatusOr<GroupId> groupForJob(const Json::Value &body) const;
+    GroupId groupOfWorker(const platform::Instance &instance) const;
+    void readInstances();
+    void takeInstances(const std::vector<platform::Instance> &instances,
+                       const std::vector<std::weak_ptr<GroupOwner>> &askedFor);
+    void readInstancesLater();
+
+    Ports m_ports;
+    SharedSettings m_settings;
+    std::vector<GroupId> m_groups;
+    std::map<GroupId, std::shared_ptr<GroupOwner>> m_owners;
+    boost::asio::steady_timer m_instancesTimer;
+};
+
+} // namespace cwl::scheduler
--- /dev/null
+++ b/src/scheduler/groupworkers.cpp
@@ -0,0 +1,330 @@
+// Workers of an owned group: the instance list, and reports as the truth of what runs.
+
+#include "scheduler/groupowner.h"
+
+#include "base/error.h"
+#include "node/log.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <utility>
+
+namespace cwl::scheduler {
+
+namespace {
+
+constexpr Duration commandDeadline = seconds(2);
+
+} // namespace
+
+// Section: instance list
+
+void GroupOwner::setWorkers(const std::vector<platform::Instance> &workers)
+{
+    m_hasWorkers = true;
+    if (m_isClosed)
+        return;
+    if (!m_isLoaded) {
+        // A report can only be understood once the jobs are known.
+        m_listed = workers;
+        return;
+    }
+    std::set<WorkerId> listed;
+    for (const platform::Instance &instance : workers) {
+        listed.insert(WorkerId(instance.id.value()));
+        addWorker(instance);
+    }
+    std::vector<WorkerId> gone;
+    for (const auto &[id, worker] : m_workers) {
+        if (listed.count(id) == 0)
+            gone.push_back(id);
+    }
+    for (const WorkerId &id : gone)
+        removeWorker(id);
+    m_reconciliation.setWorkers(listed);
+    pumpSoon();
+}
+
+void GroupOwner::addWorker(const platform::Instance &instance)
+{
+    const WorkerId id(instance.id.value());
+    const auto known = m_workers.find(id);
+    if (known != m_workers.end() && known->second.instance.address == instance.address) {
+        known->second.instance.state = instance.state;
+        updateDraining(known->second);
+        return;
+    }
+    if (known != m_workers.end())
+        removeWorker(id); // another machine under the same id
+    auto link = WorkerLink::create(
+            m_ports.control, m_ports.traffic, id, instance.address,
+            {.reported =
+                     [self = weak_from_this(), id](const WorkerReport &report, TimePoint askedAt,
+                                                   TimePoint receivedAt) {
+                         if (const std::shared_ptr<GroupOwner> owner = self.lock())
+                             owner->reported(id, report, askedAt, receivedAt);
+                     },
+             .lost =
+                     [self = weak_from_this(), id](const absl::Status &status) {
+                         if (const std::shared_ptr<GroupOwner> owner = self.lock())
+                             owner->lost(id, status);
+                     }});
+    if (!link.ok()) {
+        log::warn("worker_address_unusable", {{"worker", id.value()}, {"error", link.status()}});
+        return;
+    }
+    WorkerEntry &worker = m_workers[id];
+    worker.instance = instance;
+    worker.link = *link;
+    worker.number =
+            m_planner.putWorker({id, instance.dataCentre, instance.rack, instance.capacity});
+    m_planner.setReported(worker.number, false);
+    m_planner.setReachable(worker.number, true);
+    updateDraining(worker);
+    worker.link->startPolling();
+}
+
+void GroupOwner::updateDraining(const WorkerEntry &worker)
+{
+    const bool isLeaving = worker.instance.state == platform::InstanceState::Leaving;
+    m_planner.setDraining(worker.number, worker.isDraining || isLeaving);
+}
+
+// The instance list no longer shows it, so nothing runs there.
+void GroupOwner::removeWorker(const WorkerId &id)
+{
+    WorkerEntry &worker = m_workers.at(id);
+    m_planner.setReachable(worker.number, false);
+    worker.link->close();
+    const std::set<TaskId> tasks = worker.tasks;
+    for (const TaskId &task : tasks) {
+        if (Task *entry = find(task)) {
+            entry->life.workerGone(BootClock::now());
+            endTask(task, placement::Outcome::Stopped);
+        }
+    }
+    m_planner.removeWorker(worker.number, BootClock::now());
+    m_workers.erase(id);
+    log::info("worker_gone", {{"worker", id.value()}, {"tasks", tasks.size()}});
+}
+
+// Section: reports
+
+void GroupOwner::lost(const WorkerId &id, const absl::Status &status)
+{
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end() || m_isClosed)
+        return;
+    if (found->second.isReachable)
+        log::warn("worker_unreachable", {{"worker", id.value()}, {"error", status}});
+    found->second.isReachable = false;
+    m_planner.setReachable(found->second.number, false);
+}
+
+void GroupOwner::reported(const WorkerId &id, const WorkerReport &report, TimePoint askedAt,
+                          TimePoint receivedAt)
+{
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end() || !isValid())
+        return;
+    WorkerEntry &worker = found->second;
+    worker.clock.reported(report.clockMs, receivedAt);
+    worker.reportedAt = receivedAt;
+    worker.isReachable = true;
+    if (report.capacity != worker.instance.capacity) {
+        worker.instance.capacity = report.capacity;
+        m_planner.putWorker(
+                {id, worker.instance.dataCentre, worker.instance.rack, report.capacity});
+    }
+    takeFinished(worker, report);
+    const std::vector<TaskId> unwanted = takeRunning(worker, report, askedAt);
+    if (!unwanted.empty())
+        sendStops(worker, unwanted);
+    m_reconciliation.reported(id);
+    // What runs without being accounted for takes room: nothing starts there until it has ended.
+    m_planner.setReported(worker.number, unwanted.empty());
+    m_planner.setReachable(worker.number, true);
+    pumpSoon();
+}
+
+std::vector<TaskId> GroupOwner::takeRunning(WorkerEntry &worker, const WorkerReport &report,
+                                            TimePoint askedAt)
+{
+    const TimePoint now = BootClock::now();
+    std::set<TaskId> listed;
+    std::vector<TaskId> unwanted;
+    for (const ReportedTask &reported : report.running) {
+        Task *task = find(reported.id);
+        const bool isOurs = task && task->worker.value() == worker.instance.id.value()
+                && task->attempt == reported.attempt && task->epoch == reported.epoch;
+        if (isOurs) {
+            listed.insert(reported.id);
+            task->life.reported(true, askedAt, now);
+            task->isThrottled = reported.throttlePercent == 0;
+        } else if (adopt(worker, reported)) {
+            listed.insert(reported.id);
+        } else {
+            unwanted.push_back(reported.id);
+        }
+    }
+    const std::set<TaskId> expected = worker.tasks;
+    for (const TaskId &id : expected) {
+        Task *task = find(id);
+        if (!task || listed.count(id) > 0)
+            continue;
+        task->life.reported(false, askedAt, now);
+        if (task->life.isOver())
+            endTask(id, placement::Outcome::Stopped);
+    }
+    return unwanted;
+}
+
+bool GroupOwner::adopt(WorkerEntry &worker, const ReportedTask &reported)
+{
+    const TimePoint now = BootClock::now();
+    const auto parsed = parseTaskId(reported.id.value());
+    const bool isEarlier = reported.group == m_group && reported.epoch < m_epoch;
+    if (!parsed || !isEarlier || find(reported.id))
+        return false;
+    const auto job = m_jobs.find(parsed->first);
+    if (job == m_jobs.end() || job->second.record.state != JobState::Accepted
+        || !m_planner.adopt(parsed->first, parsed->second, worker.number, reported.attempt, now))
+        return false;
+    Task task;
+    task.ref = {m_planner.find(parsed->first), parsed->second};
+    task.job = parsed->first;
+    task.index = parsed->second;
+    task.attempt = reported.attempt;
+    task.epoch = reported.epoch;
+    task.worker = WorkerId(worker.instance.id.value());
+    task.life = TaskLife::adopted(now, now + lengthenedByClockError(taskLease));
+    task.isThrottled = reported.throttlePercent == 0;
+    worker.tasks.insert(reported.id);
+    m_tasks.emplace(reported.id, std::move(task));
+    // A gang that was complete before may be seen in part only after the wait.
+    if (m_isResumed && job->second.record.spec.kind == placement::JobKind::Gang)
+        resumeGang(parsed->first);
+    return true;
+}
+
+// Section: outcomes
+
+void GroupOwner::takeFinished(WorkerEntry &worker, const WorkerReport &report)
+{
+    std::vector<std::pair<TaskId, int64_t>> done;
+    for (const FinishedTask &finished : report.finished) {
+        const std::pair<TaskId, int64_t> attempt(finished.id, finished.attempt.value());
+        if (worker.unsaved.count(attempt) > 0)
+            continue; // its outcome is on the way to the store
+        takeOutcome(worker, finished);
+        if (worker.unsaved.count(attempt) == 0)
+            done.push_back(attempt);
+    }
+    if (!done.empty())
+        acknowledge(worker, done);
+}
+
+void GroupOwner::takeOutcome(WorkerEntry &worker, const FinishedTask &finished)
+{
+    const TimePoint now = BootClock::now();
+    const bool isSuccess = finished.outcome == "succeeded";
+    Task *task = find(finished.id);
+    const bool isOurs = task && task->worker.value() == worker.instance.id.value()
+            && task->attempt == finished.attempt && task->epoch == finished.epoch;
+    if (!task && isSuccess && finished.epoch < m_epoch) {
+        // It finished under an earlier owner, which did not store the outcome.
+        const ReportedTask reported{finished.id, m_group, finished.attempt, finished.epoch};
+        if (!adopt(worker, reported))
+            return;
+        task = find(finished.id);
+    } else if (!isOurs) {
+        return;
+    }
+    task->life.finished(now);
+    if (isSuccess) {
+        recordSuccess(worker, finished);
+        endTask(finished.id, placement::Outcome::Succeeded);
+    } else {
+        const bool isFailure = finished.outcome == "failed" && !task->isStopWanted;
+        endTask(finished.id,
+                isFailure ? placement::Outcome::Failed : placement::Outcome::Stopped);
+    }
+}
+
+bool GroupOwner::recordSuccess(WorkerEntry &worker, const FinishedTask &finished)
+{
+    const Task &task = *find(finished.id);
+    JobEntry &job = m_jobs[task.job];
+    if (job.record.spec.kind == placement::JobKind::Service || !job.record.succeeded.add(task.index))
+        return false;
+    const std::pair<TaskId, int64_t> attempt(finished.id, finished.attempt.value());
+    worker.unsaved.insert(attempt);
+    const WorkerId id(worker.instance.id.value());
+    m_store->save(job.record, [self = weak_from_this(), id, attempt](const absl::Status &) {
+        if (const std::shared_ptr<GroupOwner> owner = self.lock())
+            owner->acknowledgeSaved(id, attempt);
+    });
+    return true;
+}
+
+void GroupOwner::acknowledgeSaved(const WorkerId &id, const std::pair<TaskId, int64_t> &attempt)
+{
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end() || m_isClosed)
+        return;
+    found->second.unsaved.erase(attempt);
+    acknowledge(found->second, {attempt});
+}
+
+void GroupOwner::acknowledge(WorkerEntry &worker,
+                             const std::vector<std::pair<TaskId, int64_t>> &attempts)
+{
+    Json::Value body;
+    for (const auto &[id, attempt] : attempts) {
+        Json::Value finished;
+        finished["taskId"] = id.value();
+        finished["attempt"] = Json::Int64(attempt);
+        body["finished"].append(finished);
+    }
+    // A lost acknowledgement is repeated: the next report lists the task again.
+    worker.link->send("acknowledge", body, BootClock::now() + commandDeadline, {});
+}
+
+// Section: operators
+
+Json::Value GroupOwner::workers() const
+{
+    Json::Value workers(Json::arrayValue);
+    for (const auto &[id, worker] : m_workers) {
+        const placement::Worker &known = m_planner.fleet().worker(worker.number);
+        Json::Value value;
+        value["id"] = id.value();
+        value["group"] = m_group.value();
+        value["dataCentre"] = worker.instance.dataCentre.value();
+        value["rack"] = worker.instance.rack.value();
+        value["reachable"] = worker.isReachable;
+        value["reported"] = known.isReported;
+        value["draining"] = known.isDraining;
+        value["quarantined"] = known.health == placement::Worker::Health::Quarantined;
+        value["tasks"] = Json::UInt64(worker.tasks.size());
+        value["usedCores"] = Json::Int64(known.used.cores.value());
+        value["cores"] = Json::Int64(known.spec.capacity.cores.value());
+        workers.append(value);
+    }
+    return workers;
+}
+
+absl::Status GroupOwner::setDraining(const WorkerId &id, bool isDraining)
+{
+    const auto found = m_workers.find(id);
+    if (found == m_workers.end())
+        return makeError(Failure::UnknownWorker,
+                         absl::StrCat("worker \"", id.value(), "\" is unknown"),
+                         {.field = "worker"});
+    found->second.isDraining = isDraining;
+    updateDraining(found->second);
+    pumpSoon();
+    return absl::OkStatus();
+}
+
+} // namespace cwl::scheduler
--- /dev/null
+++ b/src/scheduler/jobstore.cpp
@@ -0,0 +1,218 @@
+#include "scheduler/jobstore.h"
+
+#include "base/error.h"
+#include "base/random.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <utility>
+
+namespace cwl::scheduler {
+
+namespace {
+
+constexpr const char *table = "jobs";
+constexpr size_t maxUnderWay = 8;                   // commits at once; the client caps their rate
+constexpr Duration commitDeadline = seconds(10);
+constexpr Duration loadDeadline = seconds(10);
+constexpr auto retryPause = std::chrono::milliseconds(500);
+
+// What both rows know is over stays over; a cancellation stays as well.
+Json::Value mergedRow(const JobRecord &stored, JobRecord ours)
+{
+    if (ours.spec.kind != placement::JobKind::Gang) {
+        ours.succeeded.addAll(stored.succeeded);
+        ours.failed.addAll(stored.failed);
+    }
+    if (stored.state == JobState::Cancelled && ours.state == JobState::Accepted)
+        ours.state = JobState::Cancelled;
+    return toRow(ours);
+}
+
+} // namespace
+
+JobStore::JobStore(boost::asio::io_context &control, platform::Client &platform,
+                   const GroupId &group)
+    : m_control(control)
+    , m_platform(platform)
+    , m_group(group)
+    , m_retryTimer(control)
+{
+}
+
+std::string JobStore::keyOf(const JobId &job) const
+{
+    return absl::StrCat(m_group.value(), "/", job.value());
+}
+
+void JobStore::close()
+{
+    m_isClosed = true;
+    m_retryTimer.cancel();
+}
+
+void JobStore::load(Loaded loaded)
+{
+    const std::string prefix = m_group.value() + "/";
+    m_platform.read({{.table = table, .prefix = prefix}}, BootClock::now() + loadDeadline,
+                    [self = shared_from_this(), loaded = std::move(loaded)](
+                            absl::StatusOr<std::vector<std::vector<platform::Row>>> rows) {
+                        if (self->m_isClosed)
+                            return;
+                        if (!rows.ok()) {
+                            loaded(rows.status());
+                            return;
+                        }
+                        std::vector<JobRecord> records;
+                        for (const platform::Row &row : rows->front()) {
+                            auto record = fromRow(row.value);
+                            if (!record.ok())
+                                continue; // written by nobody but us: another version's row
+                            self->m_entries[record->spec.id].revision = row.revision;
+                            records.push_back(*std::move(record));
+                        }
+                        loaded(std::move(records));
+                    });
+}
+
+void JobStore::save(const JobRecord &record, Saved saved)
+{
+    Entry &entry = m_entries[record.spec.id];
+    entry.next = toRow(record);
+    if (saved)
+        entry.nextSaved.push_back(std::move(saved));
+    queue(record.spec.id, entry);
+    writeSome();
+}
+
+void JobStore::queue(const JobId &job, Entry &entry)
+{
+    if (entry.isQueued || entry.isUnderWay)
+        return;
+    entry.isQueued = true;
+    m_dirty.push_back(job);
+}
+
+void JobStore::writeSome()
+{
+    while (!m_isClosed && !m_isRetrying && m_underWay < maxUnderWay && !m_dirty.empty()) {
+        const JobId job = m_dirty.front();
+        m_dirty.pop_front();
+        write(job);
+    }
+}
+
+void JobStore::write(const JobId &job)
+{
+    Entry &entry = m_entries[job];
+    entry.isQueued = false;
+    entry.isUnderWay = true;
+    ++m_underWay;
+    if (!entry.commit) {
+        platform::Commit commit;
+        commit.changeId = ChangeId(randomHexId());
+        commit.conditions.push_back({table, keyOf(job), entry.revision});
+        commit.writes.push_back({table, keyOf(job), *entry.next});
+        entry.next.reset();
+        entry.commitSaved = std::exchange(entry.nextSaved, {});
+        entry.commit = std::move(commit);
+    }
+    m_platform.commit(*entry.commit, BootClock::now() + commitDeadline,
+                      [self = shared_from_this(), job](absl::StatusOr<Revision> result) {
+                          if (!self->m_isClosed)
+                              self->written(job, result);
+                      });
+}
+
+void JobStore::written(const JobId &job, const absl::StatusOr<Revision> &result)
+{
+    Entry &entry = m_entries[job];
+    --m_underWay;
+    entry.isUnderWay = false;
+    if (result.ok()) {
+        m_failuresInRow = 0;
+        entry.revision = *result;
+        entry.commit.reset();
+        const std::vector<Saved> saved = std::exchange(entry.commitSaved, {});
+        if (entry.next)
+            queue(job, entry);
+        for (const Saved &callback : saved)
+            callback(absl::OkStatus());
+    } else if (failureOf(result.status()) == Failure::Conflict) {
+        readBack(job);
+        return;
+    } else {
+        // The same change id again: it takes effect once, whatever became of the first try.
+        ++m_failuresInRow;
+        queue(job, entry);
+        retryLater();
+        return;
+    }
+    writeSome();
+}
+
+void JobStore::readBack(const JobId &job)
+{
+    Entry &entry = m_entries[job];
+    entry.isUnderWay = true;
+    ++m_underWay;
+    m_platform.read({{.table = table, .key = keyOf(job)}}, BootClock::now() + loadDeadline,
+                    [self = shared_from_this(),
+                     job](absl::StatusOr<std::vector<std::vector<platform::Row>>> rows) {
+                        if (self->m_isClosed)
+                            return;
+                        Entry &entry = self->m_entries[job];
+                        --self->m_underWay;
+                        entry.isUnderWay = false;
+                        if (rows.ok()) {
+                            const auto &found = rows->front();
+                            self->merge(job, found.empty() ? platform::Row() : found.front());
+                            self->writeSome();
+                        } else {
+                            self->queue(job, entry);
+                            self->retryLater();
+                        }
+                    });
+}
+
+void JobStore::merge(const JobId &job, const platform::Row &row)
+{
+    Entry &entry = m_entries[job];
+    entry.revision = row.revision;
+    const Json::Value ours = entry.next ? *entry.next : entry.commit->writes.front().value;
+    entry.commit.reset();
+    const auto ourRecord = fromRow(ours);
+    const auto stored = fromRow(row.value);
+    std::vector<Saved> saved = std::exchange(entry.commitSaved, {});
+    if (stored.ok() && ourRecord.ok() && stored->submitted != ourRecord->submitted) {
+        entry.next.reset();
+        for (Saved &callback : entry.nextSaved)
+            saved.push_back(std::move(callback));
+        entry.nextSaved.clear();
+        for (const Saved &callback : saved)
+            callback(makeError(Failure::JobConflict, "the store holds another job of this id",
+                               {.field = "jobId"}));
+        return;
+    }
+    const bool isMerged = stored.ok() && ourRecord.ok();
+    entry.next = isMerged ? mergedRow(*stored, *ourRecord) : ours;
+    for (Saved &callback : saved)
+        entry.nextSaved.push_back(std::move(callback));
+    queue(job, entry);
+}
+
+void JobStore::retryLater()
+{
+    if (m_isRetrying)
+        return;
+    m_isRetrying = true;
+    m_retryTimer.expires_after(retryPause);
+    m_retryTimer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (error || self->m_isClosed)
+            return;
+        self->m_isRetrying = false;
+        self->writeSome();
+    });
+}
+
+} // namespace cwl::scheduler
--- /dev/null
+++ b/src/scheduler/jobstore.h
@@ -0,0 +1,74 @@
+// Rows of the table `jobs` of one worker group: read at takeover, written in the background.
+//
+// Writes of one job are merged while an earlier one is under way, and go on until the store has
+// taken them. A write is conditional on the row's revision, so that a late write of an earlier owner
+// is noticed and merged.
+
+#pragma once
+
+#include "platform/platform.h"
+#include "scheduler/jobrecord.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace cwl::scheduler {
+
+// All calls and callbacks are on the control thread.
+class JobStore : public std::enable_shared_from_this<JobStore>
+{
+public:
+    using Loaded = std::function<void(absl::StatusOr<std::vector<JobRecord>>)>;
+    // OK once the row, or a later one of the job, is in the store. Error: JobConflict when the store
+    // holds another job of that id.
+    using Saved = std::function<void(absl::Status)>;
+
+    JobStore(boost::asio::io_context &control, platform::Client &platform, const GroupId &group);
+
+    void load(Loaded loaded);
+    void save(const JobRecord &record, Saved saved);
+    void close(); // no callback comes after it
+
+    size_t pending() const { return m_dirty.size() + m_underWay; }
+    bool isHealthy() const { return m_failuresInRow == 0 && m_platform.isAvailable(); }
+
+private:
+    struct Entry
+    {
+        Revision revision;                        // of the row as last known
+        std::optional<Json::Value> next = {};     // to be written
+        std::vector<Saved> nextSaved = {};
+        std::optional<platform::Commit> commit = {}; // under way, or of unknown outcome
+        std::vector<Saved> commitSaved = {};
+        bool isUnderWay = false;
+        bool isQueued = false;
+    };
+
+    std::string keyOf(const JobId &job) const;
+    void queue(const JobId &job, Entry &entry);
+    void writeSome();
+    void write(const JobId &job);
+    void written(const JobId &job, const absl::StatusOr<Revision> &result);
+    void readBack(const JobId &job);
+    void merge(const JobId &job, const platform::Row &row);
+    void retryLater();
+
+    boost::asio::io_context &m_control;
+    platform::Client &m_platform;
+    GroupId m_group;
+    std::map<JobId, Entry> m_entries;
+    std::deque<JobId> m_dirty;
+    boost::asio::steady_timer m_retryTimer;
+    size_t m_underWay = 0;
+    size_t m_failuresInRow = 0;
+    bool m_isRetrying = false;
+    bool m_isClosed = false;
+};
+
+} // namespace cwl::scheduler
--- /dev/null
+++ b/src/scheduler/workerlink.cpp
@@ -0,0 +1,152 @@
+#include "scheduler/workerlink.h"
+
+#include "base/error.h"
+#include "base/json.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cwl::scheduler {
+
+namespace {
+
+namespace asio = boost::asio;
+
+// A report comes at least this often, so that a silent worker is noticed within seconds and the
+// sample of its clock stays fresh.
+constexpr int64_t reportWaitMs = 1500;
+constexpr Duration reportDeadline = milliseconds(reportWaitMs) + seconds(2);
+constexpr Duration firstPause = milliseconds(100); // after a failed poll; doubles up to the longest
+constexpr Duration longestPause = seconds(1);
+
+absl::StatusOr<Json::Value> contentOf(const absl::StatusOr<http::Response> &response)
+{
+    if (!response.ok())
+        return response.status();
+    absl::StatusOr<Json::Value> body = parseJson(response->body);
+    if (!body.ok())
+        return makeError(Failure::ProtocolError, "a worker's answer is not JSON");
+    if (response->status != 200)
+        return errorFromJson(*body);
+    return body;
+}
+
+} // namespace
+
+absl::StatusOr<std::shared_ptr<WorkerLink>>
+WorkerLink::create(asio::io_context &control, asio::io_context &traffic, const WorkerId &worker,
+                   const std::string &address, Listener listener)
+{
+    std::shared_ptr<WorkerLink> link(
+            new WorkerLink(control, worker, address, std::move(listener)));
+    auto reports = http::Client::create(traffic, {.address = address, .maxConnections = 1});
+    if (!reports.ok())
+        return reports.status();
+    auto commands = http::Client::create(traffic, {.address = address, .maxConnections = 2});
+    if (!commands.ok())
+        return commands.status();
+    link->m_reports = *std::move(reports);
+    link->m_commands = *std::move(commands);
+    return link;
+}
+
+WorkerLink::WorkerLink(asio::io_context &control, const WorkerId &worker, std::string address,
+                       Listener listener)
+    : m_control(control)
+    , m_worker(worker)
+    , m_address(std::move(address))
+    , m_listener(std::move(listener))
+    , m_timer(control)
+{
+}
+
+http::Request WorkerLink::requestOf(const std::string &action, const Json::Value &body) const
+{
+    http::Request request;
+    request.method = "POST";
+    request.path = absl::StrCat("/workers/", m_worker.value(), "/", action);
+    request.headers.set("Content-Type", "application/json");
+    request.body = writeJson(body);
+    return request;
+}
+
+void WorkerLink::startPolling()
+{
+    poll();
+}
+
+void WorkerLink::close()
+{
+    m_isClosed = true;
+    m_timer.cancel();
+    m_reports->closeAll();
+    m_commands->closeAll();
+}
+
+void WorkerLink::poll()
+{
+    if (m_isClosed)
+        return;
+    Json::Value body;
+    body["afterSequence"] = Json::Int64(m_sequence);
+    // The first report of a connection comes at once: the worker may have forgotten the sequence.
+    body["waitMs"] = Json::Int64(m_sequence == 0 ? 0 : reportWaitMs);
+    const TimePoint askedAt = BootClock::now();
+    m_reports->send(requestOf("report", body), askedAt + reportDeadline,
+                    [self = shared_from_this(), askedAt](absl::StatusOr<http::Response> response) {
+                        const TimePoint receivedAt = BootClock::now();
+                        auto content = contentOf(response);
+                        auto report = content.ok() ? reportFromJson(*content)
+                                                   : absl::StatusOr<WorkerReport>(content.status());
+                        asio::post(self->m_control,
+                                   [self, report = std::move(report), askedAt, receivedAt] {
+                                       self->polled(report, askedAt, receivedAt);
+                                   });
+                    });
+}
+
+void WorkerLink::polled(absl::StatusOr<WorkerReport> report, TimePoint askedAt,
+                        TimePoint receivedAt)
+{
+    if (m_isClosed)
+        return;
+    if (!report.ok()) {
+        m_sequence = 0;
+        m_listener.lost(report.status());
+        pollLater();
+        return;
+    }
+    m_pause = {};
+    m_sequence = report->sequence;
+    m_listener.reported(*report, askedAt, receivedAt);
+    poll();
+}
+
+void WorkerLink::pollLater()
+{
+    m_pause = std::clamp<Duration>(m_pause * 2, firstPause, longestPause);
+    m_timer.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(m_pause));
+    m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (!error)
+            self->poll();
+    });
+}
+
+void WorkerLink::send(const std::string &action, const Json::Value &body, TimePoint deadline,
+                      Answer answer)
+{
+    m_commands->send(requestOf(action, body), deadline,
+                     [self = shared_from_this(),
+                      answer = std::move(answer)](absl::StatusOr<http::Response> response) {
+                         asio::post(self->m_control,
+                                    [self, answer, content = contentOf(response)] {
+                                        if (!self->m_isClosed && answer)
+                                            answer(content);
+                                    });
+                     });
+}
+
+} // namespace cwl::scheduler
--- /dev/null
+++ b/src/scheduler/workerlink.h
@@ -0,0 +1,66 @@
+// Connection to one worker: its reports, and commands to it.
+
+#pragma once
+
+#include "base/clock.h"
+#include "http/client.h"
+#include "scheduler/report.h"
+
+#include <absl/status/statusor.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <json/value.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cwl::scheduler {
+
+// All calls and callbacks are on the control thread; the traffic threads carry the messages.
+class WorkerLink : public std::enable_shared_from_this<WorkerLink>
+{
+public:
+    struct Listener
+    {
+        // `askedAt` is when the report was asked for, on this process's clock.
+        std::function<void(const WorkerReport &, TimePoint askedAt, TimePoint receivedAt)> reported;
+        std::function<void(const absl::Status &)> lost; // a report did not come
+    };
+    using Answer = std::function<void(absl::StatusOr<Json::Value>)>;
+
+    static absl::StatusOr<std::shared_ptr<WorkerLink>>
+    create(boost::asio::io_context &control, boost::asio::io_context &traffic,
+           const WorkerId &worker, const std::string &address, Listener listener);
+
+    void startPolling();
+    void close(); // no callback comes after it
+
+    // Sends POST /workers/{id}/{action}. Failures are those of http::Client, and the worker's own.
+    void send(const std::string &action, const Json::Value &body, TimePoint deadline,
+              Answer answer);
+
+    const std::string &address() const { return m_address; }
+
+private:
+    WorkerLink(boost::asio::io_context &control, const WorkerId &worker, std::string address,
+               Listener listener);
+
+    void poll();
+    void polled(absl::StatusOr<WorkerReport> report, TimePoint askedAt, TimePoint receivedAt);
+    void pollLater();
+    http::Request requestOf(const std::string &action, const Json::Value &body) const;
+
+    boost::asio::io_context &m_control;
+    WorkerId m_worker;
+    std::string m_address;
+    Listener m_listener;
+    std::unique_ptr<http::Client> m_reports;  // a connection of its own for the long poll
+    std::unique_ptr<http::Client> m_commands;
+    boost::asio::steady_timer m_timer;
+    int64_t m_sequence = 0; // of the last report
+    Duration m_pause = {};
+    bool m_isClosed = false;
+};
+
+} // namespace cwl::scheduler
--- /dev/null
+++ b/tests/scheduler/tasklife_test.cpp
@@ -0,0 +1,130 @@
+// Tests of when a task has certainly ended, and of what a new owner waits for.
+
+#include "scheduler/reconciliation.h"
+#include "scheduler/tasklife.h"
+#include "scheduler/workerclock.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace {
+
+using namespace cwl;
+using namespace cwl::scheduler;
+
+TimePoint at(int64_t ms)
+{
+    return TimePoint(milliseconds(1'000'000 + ms));
+}
+
+class TaskLifeTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TaskLifeTest);
+    CPPUNIT_TEST(lostStartCountsAsRunningUntilItsLeaseHasEnded);
+    CPPUNIT_TEST(reportFromBeforeTheStartDoesNotEndTheTask);
+    CPPUNIT_TEST(unreachableTaskRunsUntilItsLastLease);
+    CPPUNIT_TEST(overIsFinal);
+    CPPUNIT_TEST(newOwnerWaitsForEveryWorkerOrTheLease);
+    CPPUNIT_TEST(firstOwnerWaitsForNothing);
+    CPPUNIT_TEST(deadlineOnAnyWorkerClockEndsInTime);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a second start of a task whose first start is still in transit.
+    void lostStartCountsAsRunningUntilItsLeaseHasEnded()
+    {
+        TaskLife life = TaskLife::sent(at(0), at(3000));
+        life.startUnanswered(at(1000));
+        life.reported(false, at(1500), at(1600));
+        life.timePassed(at(3000));
+        CPPUNIT_ASSERT(!life.isOver());
+        life.timePassed(at(3001));
+        CPPUNIT_ASSERT(life.isOver());
+        CPPUNIT_ASSERT(life.cause() == TaskCause::LeaseExpired);
+    }
+
+    // Guards against a long-polled report that was asked for before the start took effect.
+    void reportFromBeforeTheStartDoesNotEndTheTask()
+    {
+        TaskLife life = TaskLife::sent(at(100), at(3000));
+        life.startAcknowledged(at(200));
+        life.renewalSent(at(60000));
+        life.reported(false, at(150), at(300));
+        CPPUNIT_ASSERT(life.phase() == TaskPhase::Running);
+        life.reported(false, at(201), at(400));
+        CPPUNIT_ASSERT(life.cause() == TaskCause::MissingInReport);
+    }
+
+    // Guards against a task that is started elsewhere while its worker is only unreachable.
+    void unreachableTaskRunsUntilItsLastLease()
+    {
+        TaskLife life = TaskLife::sent(at(0), at(3000));
+        life.startAcknowledged(at(100));
+        life.renewalSent(at(60000));
+        life.renewalSent(at(50000)); // an older renewal does not shorten it
+        life.timePassed(at(59999));
+        CPPUNIT_ASSERT(!life.isOver());
+        life.timePassed(at(60001));
+        CPPUNIT_ASSERT(life.isOver());
+    }
+
+    // Guards against a late answer that brings a task back whose capacity was given away.
+    void overIsFinal()
+    {
+        TaskLife life = TaskLife::sent(at(0), at(3000));
+        life.workerGone(at(10));
+        life.startAcknowledged(at(20));
+        life.reported(true, at(15), at(30));
+        CPPUNIT_ASSERT(life.isOver());
+        CPPUNIT_ASSERT(life.cause() == TaskCause::WorkerGone);
+    }
+
+    // Guards against a restart of a task that still runs on a worker that has not reported.
+    void newOwnerWaitsForEveryWorkerOrTheLease()
+    {
+        Reconciliation waits(false, at(0));
+        CPPUNIT_ASSERT(!waits.isComplete(at(1)));
+        waits.setWorkers({WorkerId("a"), WorkerId("b")});
+        waits.reported(WorkerId("a"));
+        CPPUNIT_ASSERT(!waits.isComplete(at(2)));
+        Reconciliation gone = waits;
+        gone.setWorkers({WorkerId("a")});
+        CPPUNIT_ASSERT(gone.isComplete(at(3)));
+        Reconciliation late = waits;
+        CPPUNIT_ASSERT(!late.isComplete(at(60120)));
+        CPPUNIT_ASSERT(late.isComplete(at(60121)));
+        waits.reported(WorkerId("b"));
+        CPPUNIT_ASSERT(waits.isComplete(at(4)));
+    }
+
+    // Guards against a new cell that waits a minute before its first start.
+    void firstOwnerWaitsForNothing()
+    {
+        Reconciliation waits(true, at(0));
+        CPPUNIT_ASSERT(waits.isComplete(at(0)));
+    }
+
+    // Guards against a lease that outlasts the sender's validity on a fast or slow worker clock.
+    void deadlineOnAnyWorkerClockEndsInTime()
+    {
+        const bool holds = rc::check("worker clock", [] {
+            // The worker's clock runs at a rate within the error and shows any time.
+            const int64_t offset = *rc::gen::inRange<int64_t>(-1'000'000, 1'000'000'000);
+            const double rate = 1 + *rc::gen::inRange(-1998, 1999) / 1e6;
+            const auto workerTime = [&](int64_t localMs) {
+                return offset + static_cast<int64_t>(static_cast<double>(localMs) * rate);
+            };
+            const int64_t written = *rc::gen::inRange(0, 100000);
+            const int64_t received = written + *rc::gen::inRange(0, 5000);
+            const int64_t end = received + *rc::gen::inRange(0, 60000);
+            WorkerClock clock;
+            clock.reported(workerTime(written), at(received));
+            RC_ASSERT(*clock.notLaterThan(at(end)) <= workerTime(end));
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TaskLifeTest);
+
+} // namespace
