--- a/src/ownership/renewer.cpp
+++ b/src/ownership/renewer.cpp
@@ -196,6 +196,7 @@
     state["validForMs"] = Json::Int64(
             std::chrono::duration_cast<milliseconds>(m_lease.validUntil() - now).count());
     state["revision"] = Json::Int64(m_lease.revision().value());
+    state["witnesses"] = Json::Int64(static_cast<int64_t>(m_lease.promiseCandidates().size()));
     state["isRenewalPending"] = m_lease.pending().has_value();
     state["renewals"] = Json::Int64(m_renewals);
     state["relayed"] = Json::Int64(m_relayed);
