--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -51,7 +51,7 @@
 {
     bool isKnown = false;              // false if no such task was running
     bool isJobOver = false;            // complete or cancelled, and forgotten from now on
-    bool isGivenUp = false;              // the task used up its attempts
+    bool isGivenUp = false;            // the task used up its attempts
     bool isWorkerQuarantined = false;  // by this failure
     std::vector<Assignment> stop = {}; // other tasks of the gang: stop them, then report them
 };
--- a/src/scheduler/describe.cpp
+++ b/src/scheduler/describe.cpp
@@ -33,8 +33,7 @@
         task["reason"] = placement::waitReasonName(explanation.reason);
     if (explanation.notBefore) {
         const Duration left = std::max(Duration(), *explanation.notBefore - now);
-        task["retryAfterMs"] =
-                Json::Int64(std::chrono::duration_cast<milliseconds>(left).count());
+        task["retryAfterMs"] = Json::Int64(std::chrono::duration_cast<milliseconds>(left).count());
     }
     if (explanation.assignment) {
         const placement::Assignment &assignment = *explanation.assignment;
@@ -50,8 +49,8 @@
 
 } // namespace
 
-Json::Value describeJob(const JobRecord &record,
-                        const std::optional<placement::JobCounts> &counts, bool isDurable)
+Json::Value describeJob(const JobRecord &record, const std::optional<placement::JobCounts> &counts,
+                        bool isDurable)
 {
     Json::Value value;
     value["jobId"] = record.spec.id.value();
--- a/src/scheduler/groupowner.cpp
+++ b/src/scheduler/groupowner.cpp
@@ -89,9 +89,9 @@
         }
     }
     m_settings = settings;
-    m_planner.setOptions({.classShares = settings->cell.classShares,
-                          .maxWaitingTasks =
-                                  static_cast<uint64_t>(settings->cell.maxWaitingTasks)});
+    m_planner.setOptions(
+            {.classShares = settings->cell.classShares,
+             .maxWaitingTasks = static_cast<uint64_t>(settings->cell.maxWaitingTasks)});
     for (const auto &[id, team] : settings->teams)
         m_planner.putTeam({id, team.quota, team.weight, team.packing});
     pumpSoon();
@@ -126,20 +126,18 @@
         if (record.state == JobState::Accepted && isOver)
             record.state = JobState::Done;
         if (record.state == JobState::Accepted) {
-            const absl::Status status =
-                    m_planner.restore({.spec = record.spec,
-                                       .succeeded = record.succeeded.indexes(),
-                                       .failed = record.failed.indexes()},
-                                      now);
+            const absl::Status status = m_planner.restore({.spec = record.spec,
+                                                           .succeeded = record.succeeded.indexes(),
+                                                           .failed = record.failed.indexes()},
+                                                          now);
             if (!status.ok())
                 log::error("job_not_restored", {{"job", id.value()}, {"error", status}});
         }
         m_jobs[id] = {.record = std::move(record), .isDurable = true, .isRestored = true};
     }
     m_isLoaded = true;
-    log::info("jobs_loaded", {{"group", m_group.value()},
-                              {"epoch", m_epoch.value()},
-                              {"jobs", m_jobs.size()}});
+    log::info("jobs_loaded",
+              {{"group", m_group.value()}, {"epoch", m_epoch.value()}, {"jobs", m_jobs.size()}});
     if (m_hasWorkers)
         setWorkers(std::exchange(m_listed, {}));
     pumpSoon();
@@ -212,10 +210,11 @@
         if (job.record.spec.kind == placement::JobKind::Gang)
             resumeGang(id);
     }
-    log::info("reconciled", {{"group", m_group.value()},
-                             {"epoch", m_epoch.value()},
-                             {"running", m_tasks.size()},
-                             {"missing_workers", m_reconciliation.missing()}});
+    log::info("reconciled",
+              {{"group", m_group.value()},
+               {"epoch", m_epoch.value()},
+               {"running", m_tasks.size()},
+               {"missing_workers", m_reconciliation.missing()}});
 }
 
 // A gang of an earlier epoch is complete, and goes on, or it starts again as a whole.
@@ -325,20 +324,21 @@
 void GroupOwner::jobChanged(JobEntry &job, JobStore::Saved saved)
 {
     const JobId id = job.record.spec.id;
-    m_store->save(job.record, [self = weak_from_this(), id,
-                               saved = std::move(saved)](const absl::Status &status) {
-        const std::shared_ptr<GroupOwner> owner = self.lock();
-        if (!owner)
-            return;
-        if (status.ok()) {
-            owner->m_jobs[id].isDurable = true;
-        } else {
-            log::error("job_not_stored", {{"job", id.value()}, {"error", status}});
-            owner->undoSubmit(id);
-        }
-        if (saved)
-            saved(status);
-    });
+    m_store->save(
+            job.record,
+            [self = weak_from_this(), id, saved = std::move(saved)](const absl::Status &status) {
+                const std::shared_ptr<GroupOwner> owner = self.lock();
+                if (!owner)
+                    return;
+                if (status.ok()) {
+                    owner->m_jobs[id].isDurable = true;
+                } else {
+                    log::error("job_not_stored", {{"job", id.value()}, {"error", status}});
+                    owner->undoSubmit(id);
+                }
+                if (saved)
+                    saved(status);
+            });
 }
 
 // An earlier owner stored another job of this id after this owner had read the table.
--- a/src/scheduler/groupowner.h
+++ b/src/scheduler/groupowner.h
@@ -91,10 +91,10 @@
         Epoch epoch; // of its start
         WorkerId worker;
         TaskLife life;
-        TimePoint renewedUntil = {};  // end of the last lease that the worker acknowledged
+        TimePoint renewedUntil = {}; // end of the last lease that the worker acknowledged
         bool isStopWanted = false;
         bool isStopUnderWay = false;
-        bool isThrottled = false;     // at 0%, of a gang that has not been released
+        bool isThrottled = false; // at 0%, of a gang that has not been released
     };
     struct WorkerEntry
     {
--- a/src/scheduler/groups.cpp
+++ b/src/scheduler/groups.cpp
@@ -38,8 +38,7 @@
     : m_ports(std::move(ports))
     , m_instancesTimer(m_ports.control)
 {
-    for (const char *method :
-         {submitMethod, cancelMethod, showMethod, listMethod, explainMethod})
+    for (const char *method : {submitMethod, cancelMethod, showMethod, listMethod, explainMethod})
         addMethod(method);
 }
 
@@ -88,8 +87,8 @@
 
 void Groups::acquired(const ownership::Acquisition &acquisition)
 {
-    log::info("group_acquired", {{"group", acquisition.group.value()},
-                                 {"epoch", acquisition.epoch.value()}});
+    log::info("group_acquired",
+              {{"group", acquisition.group.value()}, {"epoch", acquisition.epoch.value()}});
     lost(acquisition.group);
     const auto owner = GroupOwner::create(
             OwnerPorts{m_ports.control, m_ports.traffic, m_ports.platform, m_ports.metrics,
@@ -287,10 +286,10 @@
         if (status.ok())
             return status;
     }
-    return makeError(Failure::UnknownWorker,
-                     absl::StrCat("worker \"", worker.value(),
-                                  "\" is in no group that this process owns"),
-                     {.field = "worker"});
+    return makeError(
+            Failure::UnknownWorker,
+            absl::StrCat("worker \"", worker.value(), "\" is in no group that this process owns"),
+            {.field = "worker"});
 }
 
 // With one group, all workers; otherwise the group is named after the data centre.
--- a/src/scheduler/grouptasks.cpp
+++ b/src/scheduler/grouptasks.cpp
@@ -13,9 +13,9 @@
 namespace {
 
 constexpr Duration commandDeadline = seconds(2);
-constexpr Duration firstLease = seconds(3);     // at most; the sender's validity ends it earlier
-constexpr Duration renewBefore = seconds(45);   // a lease with less left is renewed
-constexpr Duration gangDeadline = seconds(5);   // for all starts of a gang to be acknowledged
+constexpr Duration firstLease = seconds(3);   // at most; the sender's validity ends it earlier
+constexpr Duration renewBefore = seconds(45); // a lease with less left is renewed
+constexpr Duration gangDeadline = seconds(5); // for all starts of a gang to be acknowledged
 
 bool isCertainlyNotSent(const absl::Status &status)
 {
@@ -103,8 +103,8 @@
     message["accelerators"] = Json::Int64(record.spec.each.accelerators.value());
     message["leaseDeadlineMs"] = Json::Int64(leaseMs);
     message["throttlePercent"] = task.isThrottled ? 0 : 100;
-    message["runMs"] = Json::Int64(
-            std::chrono::duration_cast<milliseconds>(record.spec.run).count());
+    message["runMs"] =
+            Json::Int64(std::chrono::duration_cast<milliseconds>(record.spec.run).count());
     message["spec"] = record.submitted.get("spec", Json::Value(Json::objectValue));
     if (record.spec.kind == placement::JobKind::Gang && message["spec"].isObject())
         message["spec"]["gangSize"] = record.spec.count;
@@ -173,8 +173,7 @@
     m_tasks.erase(found);
     if (const auto worker = m_workers.find(task.worker); worker != m_workers.end())
         worker->second.tasks.erase(id);
-    const placement::Finished finished =
-            m_planner.finish(task.ref, outcome, BootClock::now());
+    const placement::Finished finished = m_planner.finish(task.ref, outcome, BootClock::now());
     JobEntry &job = m_jobs[task.job];
     if (finished.isWorkerQuarantined)
         log::warn("worker_quarantined", {{"worker", task.worker.value()}});
@@ -307,8 +306,8 @@
     Json::Value body;
     for (const TaskId &id : worker.tasks) {
         Task *task = find(id);
-        const bool isDue = task && !task->isStopWanted
-                && task->life.phase() == TaskPhase::Running && task->renewedUntil - now < renewBefore;
+        const bool isDue = task && !task->isStopWanted && task->life.phase() == TaskPhase::Running
+                && task->renewedUntil - now < renewBefore;
         if (!isDue || !leaseMs)
             continue;
         task->life.renewalSent(leaseEnd);
--- a/src/scheduler/groupworkers.cpp
+++ b/src/scheduler/groupworkers.cpp
@@ -246,8 +246,7 @@
         endTask(finished.id, placement::Outcome::Succeeded);
     } else {
         const bool isFailure = finished.outcome == "failed" && !task->isStopWanted;
-        endTask(finished.id,
-                isFailure ? placement::Outcome::Failed : placement::Outcome::Stopped);
+        endTask(finished.id, isFailure ? placement::Outcome::Failed : placement::Outcome::Stopped);
     }
 }
 
@@ -255,7 +254,8 @@
 {
     const Task &task = *find(finished.id);
     JobEntry &job = m_jobs[task.job];
-    if (job.record.spec.kind == placement::JobKind::Service || !job.record.succeeded.add(task.index))
+    if (job.record.spec.kind == placement::JobKind::Service
+        || !job.record.succeeded.add(task.index))
         return false;
     const std::pair<TaskId, int64_t> attempt(finished.id, finished.attempt.value());
     worker.unsaved.insert(attempt);
--- a/src/scheduler/jobstore.cpp
+++ b/src/scheduler/jobstore.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr const char *table = "jobs";
-constexpr size_t maxUnderWay = 8;                   // commits at once; the client caps their rate
+constexpr size_t maxUnderWay = 8; // commits at once; the client caps their rate
 constexpr Duration commitDeadline = seconds(10);
 constexpr Duration loadDeadline = seconds(10);
 constexpr auto retryPause = std::chrono::milliseconds(500);
--- a/src/scheduler/jobstore.h
+++ b/src/scheduler/jobstore.h
@@ -1,8 +1,8 @@
 // Rows of the table `jobs` of one worker group: read at takeover, written in the background.
 //
 // Writes of one job are merged while an earlier one is under way, and go on until the store has
-// taken them. A write is conditional on the row's revision, so that a late write of an earlier owner
-// is noticed and merged.
+// taken them. A write is conditional on the row's revision, so that a late write of an earlier
+// owner is noticed and merged.
 
 #pragma once
 
@@ -25,8 +25,8 @@
 {
 public:
     using Loaded = std::function<void(absl::StatusOr<std::vector<JobRecord>>)>;
-    // OK once the row, or a later one of the job, is in the store. Error: JobConflict when the store
-    // holds another job of that id.
+    // OK once the row, or a later one of the job, is in the store. Error: JobConflict when the
+    // store holds another job of that id.
     using Saved = std::function<void(absl::Status)>;
 
     JobStore(boost::asio::io_context &control, platform::Client &platform, const GroupId &group);
@@ -41,8 +41,8 @@
 private:
     struct Entry
     {
-        Revision revision;                        // of the row as last known
-        std::optional<Json::Value> next = {};     // to be written
+        Revision revision;                    // of the row as last known
+        std::optional<Json::Value> next = {}; // to be written
         std::vector<Saved> nextSaved = {};
         std::optional<platform::Commit> commit = {}; // under way, or of unknown outcome
         std::vector<Saved> commitSaved = {};
--- a/src/scheduler/main.cpp
+++ b/src/scheduler/main.cpp
@@ -2,8 +2,8 @@
 
 #include "base/error.h"
 #include "base/exitcode.h"
-#include "scheduler/scheduler.h"
 #include "node/node.h"
+#include "scheduler/scheduler.h"
 #include "settings/processsettings.h"
 
 #include <docopt/docopt.h>
--- a/src/scheduler/operatorsapi.cpp
+++ b/src/scheduler/operatorsapi.cpp
@@ -152,9 +152,8 @@
         answer(respond, body.status());
         return;
     }
-    m_groups.submit(*body, [respond](const absl::StatusOr<Json::Value> &value) {
-        answer(respond, value);
-    });
+    m_groups.submit(
+            *body, [respond](const absl::StatusOr<Json::Value> &value) { answer(respond, value); });
 }
 
 // Section: workers
@@ -201,8 +200,9 @@
 {
     const auto settings = m_follower.current();
     if (!settings) {
-        answer(respond, makeError(Failure::NotReady, "the cell settings are not known yet",
-                                  {.retryAfterMs = 500}));
+        answer(respond,
+               makeError(Failure::NotReady, "the cell settings are not known yet",
+                         {.retryAfterMs = 500}));
         return;
     }
     Json::Value value;
@@ -216,9 +216,10 @@
     }
     const auto text = settings->texts.find(subtree);
     if (text == settings->texts.end()) {
-        answer(respond, makeError(Failure::UnknownSubtree,
-                                  absl::StrCat("there are no settings named \"", subtree, "\""),
-                                  {.field = "subtree"}));
+        answer(respond,
+               makeError(Failure::UnknownSubtree,
+                         absl::StrCat("there are no settings named \"", subtree, "\""),
+                         {.field = "subtree"}));
         return;
     }
     value["subtree"] = subtree;
@@ -235,8 +236,9 @@
     change.text = request.body;
     change.token = bearerToken(request);
     if (change.changeId.isEmpty()) {
-        answer(respond, makeError(Failure::MissingField, "the header Change-Id is missing",
-                                  {.field = "Change-Id"}));
+        answer(respond,
+               makeError(Failure::MissingField, "the header Change-Id is missing",
+                         {.field = "Change-Id"}));
         return;
     }
     const std::string &version = request.headers.value("If-Match");
@@ -244,8 +246,9 @@
     const char *const end = version.data() + version.size();
     const auto [stopped, error] = std::from_chars(version.data(), end, basedOn);
     if (error != std::errc() || stopped != end || basedOn < 0) {
-        answer(respond, makeError(Failure::InvalidValue, "the header If-Match is not a version",
-                                  {.field = "If-Match", .limit = "0 or more"}));
+        answer(respond,
+               makeError(Failure::InvalidValue, "the header If-Match is not a version",
+                         {.field = "If-Match", .limit = "0 or more"}));
         return;
     }
     change.basedOn = SettingsVersion(basedOn);
--- a/src/scheduler/report.cpp
+++ b/src/scheduler/report.cpp
@@ -22,7 +22,8 @@
 absl::StatusOr<WorkerReport> reportFromJson(const Json::Value &body)
 {
     const auto malformed = [](const char *what) {
-        return makeError(Failure::ProtocolError, std::string("a worker's report has no valid ") + what);
+        return makeError(Failure::ProtocolError,
+                         std::string("a worker's report has no valid ") + what);
     };
     if (!body.isObject())
         return malformed("object");
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -44,10 +44,9 @@
     m_rpcClient = std::make_unique<rpc::Client>(m_node.trafficContext());
     m_follower = settings::Follower::create(m_node.controlContext(), *m_platform, *m_rpcServer,
                                             *m_rpcClient, settings.peers);
-    m_groups = std::make_unique<Groups>(
-            Groups::Ports{m_node.controlContext(), m_node.trafficContext(), *m_platform,
-                          *m_rpcServer, *m_rpcClient, m_node.metrics(),
-                          [this] { return m_member.get(); }});
+    m_groups = std::make_unique<Groups>(Groups::Ports{
+            m_node.controlContext(), m_node.trafficContext(), *m_platform, *m_rpcServer,
+            *m_rpcClient, m_node.metrics(), [this] { return m_member.get(); }});
     const absl::Status status = createMember(settings);
     if (!status.ok())
         return status;
--- a/src/scheduler/workerlink.cpp
+++ b/src/scheduler/workerlink.cpp
@@ -40,8 +40,7 @@
 WorkerLink::create(asio::io_context &control, asio::io_context &traffic, const WorkerId &worker,
                    const std::string &address, Listener listener)
 {
-    std::shared_ptr<WorkerLink> link(
-            new WorkerLink(control, worker, address, std::move(listener)));
+    std::shared_ptr<WorkerLink> link(new WorkerLink(control, worker, address, std::move(listener)));
     auto reports = http::Client::create(traffic, {.address = address, .maxConnections = 1});
     if (!reports.ok())
         return reports.status();
@@ -141,11 +140,10 @@
     m_commands->send(requestOf(action, body), deadline,
                      [self = shared_from_this(),
                       answer = std::move(answer)](absl::StatusOr<http::Response> response) {
-                         asio::post(self->m_control,
-                                    [self, answer, content = contentOf(response)] {
-                                        if (!self->m_isClosed && answer)
-                                            answer(content);
-                                    });
+                         asio::post(self->m_control, [self, answer, content = contentOf(response)] {
+                             if (!self->m_isClosed && answer)
+                                 answer(content);
+                         });
                      });
 }
 
--- a/src/scheduler/workerlink.h
+++ b/src/scheduler/workerlink.h
@@ -55,7 +55,7 @@
     WorkerId m_worker;
     std::string m_address;
     Listener m_listener;
-    std::unique_ptr<http::Client> m_reports;  // a connection of its own for the long poll
+    std::unique_ptr<http::Client> m_reports; // a connection of its own for the long poll
     std::unique_ptr<http::Client> m_commands;
     boost::asio::steady_timer m_timer;
     int64_t m_sequence = 0; // of the last report
