End the log before its library's level objects

Cause: a ThreadSanitizer trial of rpc-test reported a level object of log4cxx that was destroyed at exit while the writing thread had read it. log4cxx makes level objects at first use, so those made after finish() was registered were destroyed before it.

Ruled out: a race of our own locks; the stack showed only log4cxx and exit handlers.

Change: the log touches all levels before it registers finish().

Conclusion: the writing thread ends before what it reads.

--- a/src/node/log.cpp
+++ b/src/node/log.cpp
@@ -42,7 +42,11 @@
         m_logger->addAppender(m_appender);
         m_logger->setAdditivity(false);
         m_logger->setLevel(log4cxx::Level::getAll());
-        // Runs before log4cxx's own objects are destroyed, since those were made earlier.
+        // log4cxx makes its level objects at first use. Made before finish() is registered, they
+        // are destroyed after it, when the writing thread no longer reads them.
+        for (const Level level :
+             {Level::Trace, Level::Debug, Level::Info, Level::Warn, Level::Error})
+            libraryLevel(level);
         std::atexit(finish);
     }
 
