Let a process advertise another RPC address

Cause: the fault proxy cannot sit between members, whose rows name their own address. Change: the optional process setting rpcAdvertised goes into the member's row. Conclusion: cuts and silence between members can be tested.

--- a/src/settings/describe.cpp
+++ b/src/settings/describe.cpp
@@ -62,6 +62,7 @@
     value["address"] = settings.address;
     value["httpPort"] = settings.httpPort;
     value["rpcPort"] = settings.rpcPort;
+    value["rpcAdvertised"] = settings.rpcAdvertised;
     value["platform"] = settings.platform;
     value["peers"] = Json::Value(Json::arrayValue);
     for (const std::string &peer : settings.peers)
--- a/src/settings/processsettings.cpp
+++ b/src/settings/processsettings.cpp
@@ -18,6 +18,13 @@
 
 } // namespace
 
+std::string rpcAddress(const ProcessSettings &settings, uint16_t openPort)
+{
+    if (!settings.rpcAdvertised.empty())
+        return settings.rpcAdvertised;
+    return absl::StrCat(settings.address, ":", openPort);
+}
+
 absl::StatusOr<ProcessSettings> loadProcessSettings(const std::string &path)
 {
     std::ifstream file(path, std::ios::binary);
@@ -45,6 +52,7 @@
     settings.address = reader.text("address", settings.address);
     settings.httpPort = static_cast<uint16_t>(reader.requiredInteger("httpPort", 0, maxPort));
     settings.rpcPort = static_cast<uint16_t>(reader.requiredInteger("rpcPort", 0, maxPort));
+    settings.rpcAdvertised = reader.text("rpcAdvertised", settings.rpcAdvertised);
     settings.platform = reader.requiredText("platform");
     settings.peers = reader.texts("peers", settings.peers);
     settings.trafficThreads =
