Count the bytes of control and of callers apart

Cause: the limit of 4 KB/s of control traffic per node could not be checked, since no process knew how many bytes it receives and sends. Ruled out: counting in the stand-ins, which see only their own side and not the RPC between processes; counting in the channel alone, which does not know the method of a call. HTTP clients state their purpose, RPC counts request.* apart from the rest. The state dump has the section "traffic", the metrics have cwl_traffic_bytes_total. The new cases compare the counts with the exact length of what was sent.

--- a/src/entry/endpointlink.cpp
+++ b/src/entry/endpointlink.cpp
@@ -62,8 +62,10 @@
                                                                    const std::string &address,
                                                                    size_t maxConnections)
 {
-    auto client =
-            http::Client::create(context, {.address = address, .maxConnections = maxConnections});
+    auto client = http::Client::create(context,
+                                       {.address = address,
+                                        .maxConnections = maxConnections,
+                                        .traffic = Traffic::HttpEndpoints});
     if (!client.ok())
         return client.status();
     return std::unique_ptr<EndpointLink>(new EndpointLink(address, *std::move(client)));
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -266,6 +266,7 @@
 
 void Client::Implementation::onWritten(const LinkPointer &link, error_code error, size_t bytes)
 {
+    addSent(m_options.traffic, bytes);
     if (error && bytes == 0) {
         const ExchangePointer exchange = link->exchange;
         close(link);
@@ -289,12 +290,13 @@
         link->parser->skip(true);
     // The header is read on its own: Beast 1.74 overlooks a stated length above the limit when it
     // parses header and body in one step.
-    beast::http::async_read_header(
-            link->socket, link->buffer, *link->parser,
-            [self = shared_from_this(), link, exchange = link->exchange](error_code error, size_t) {
-                if (link->exchange == exchange)
-                    self->onAnswerHeader(link, error);
-            });
+    beast::http::async_read_header(link->socket, link->buffer, *link->parser,
+                                   [self = shared_from_this(), link,
+                                    exchange = link->exchange](error_code error, size_t bytes) {
+                                       addReceived(self->m_options.traffic, bytes);
+                                       if (link->exchange == exchange)
+                                           self->onAnswerHeader(link, error);
+                                   });
 }
 
 void Client::Implementation::onAnswerHeader(const LinkPointer &link, error_code error)
@@ -309,12 +311,13 @@
         readAnswer(link);
         return;
     }
-    beast::http::async_read(
-            link->socket, link->buffer, *link->parser,
-            [self = shared_from_this(), link, exchange = link->exchange](error_code error, size_t) {
-                if (link->exchange == exchange)
-                    self->onAnswer(link, error);
-            });
+    beast::http::async_read(link->socket, link->buffer, *link->parser,
+                            [self = shared_from_this(), link,
+                             exchange = link->exchange](error_code error, size_t bytes) {
+                                addReceived(self->m_options.traffic, bytes);
+                                if (link->exchange == exchange)
+                                    self->onAnswer(link, error);
+                            });
 }
 
 void Client::Implementation::onAnswer(const LinkPointer &link, error_code error)
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/traffic.h"
 #include "http/message.h"
 
 #include <absl/status/statusor.h>
@@ -21,7 +22,8 @@
     size_t maxConnections = 4; // requests beyond it wait in order until their deadline
     size_t maxBodyBytes = 4UL * 1024 * 1024; // a larger answer fails with BodyTooLarge
     Duration connectTimeout = milliseconds(1000);
-    Duration idleTimeout = seconds(30); // a kept connection unused for longer is closed
+    Duration idleTimeout = seconds(30);   // a kept connection unused for longer is closed
+    Traffic traffic = Traffic::HttpOther; // what its bytes are counted as
 };
 
 // The answer, complete, or a failure. Failures that mean "certainly not sent": ConnectionRefused
--- a/src/http/session.cpp
+++ b/src/http/session.cpp
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "base/json.h"
+#include "base/traffic.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
@@ -131,10 +132,12 @@
     m_parser->header_limit(uint32_t(m_context->options.maxHeaderBytes));
     m_parser->body_limit(m_context->options.maxBodyBytes);
     m_stream.expires_after(m_context->options.headerTimeout);
-    beast::http::async_read_header(m_stream, m_buffer, *m_parser,
-                                   [self = shared_from_this()](beast::error_code error, size_t) {
-                                       self->onHeader(error);
-                                   });
+    beast::http::async_read_header(
+            m_stream, m_buffer, *m_parser,
+            [self = shared_from_this()](beast::error_code error, size_t bytes) {
+                addReceived(Traffic::HttpServer, bytes);
+                self->onHeader(error);
+            });
 }
 
 void Session::onHeader(beast::error_code error)
@@ -187,7 +190,8 @@
         return;
     m_stream.expires_after(m_context->options.bodyTimeout);
     beast::http::async_read(m_stream, m_buffer, *m_parser,
-                            [self = shared_from_this()](beast::error_code error, size_t) {
+                            [self = shared_from_this()](beast::error_code error, size_t bytes) {
+                                addReceived(Traffic::HttpServer, bytes);
                                 self->onRequest(error);
                             });
 }
@@ -248,7 +252,8 @@
 {
     m_serializer.emplace(*m_response);
     m_stream.expires_after(m_context->options.writeTimeout);
-    auto written = [self = shared_from_this()](beast::error_code error, size_t) {
+    auto written = [self = shared_from_this()](beast::error_code error, size_t bytes) {
+        addSent(Traffic::HttpServer, bytes);
         self->onWritten(error);
     };
     // The answer to HEAD states the length of the body and leaves it out.
@@ -297,6 +302,7 @@
 void Session::onDrained(beast::error_code error, size_t bytes)
 {
     m_drained += bytes;
+    addReceived(Traffic::HttpServer, bytes);
     if (error || m_drained > maxDrainBytes)
         close();
     else if (m_phase == Phase::Draining)
--- a/src/node/adminpages.cpp
+++ b/src/node/adminpages.cpp
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "base/json.h"
+#include "base/traffic.h"
 
 namespace cwl::node {
 
@@ -54,7 +55,7 @@
         const Json::Value state = m_readiness.state(now);
         respond(jsonResponse(state["ready"].asBool() ? 200 : 503, state));
     } else if (path == "/metrics") {
-        respond(response(200, "text/plain; version=0.0.4", m_metrics.text()));
+        respond(response(200, "text/plain; version=0.0.4", m_metrics.text() + trafficText()));
     } else {
         answerState(respond);
     }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "base/json.h"
+#include "base/traffic.h"
 #include "node/adminpages.h"
 #include "node/log.h"
 #include "node/readiness.h"
@@ -124,6 +125,7 @@
 {
     dump.add("process", [this] { return processState(); });
     dump.add("supervisor", [this] { return supervisor->state(); });
+    dump.add("traffic", trafficState);
     dump.add("metrics", [this] { return metrics.state(); });
 }
 
--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -258,6 +258,7 @@
     http::ClientOptions httpOptions;
     httpOptions.address = options.address;
     httpOptions.maxConnections = maxConnections;
+    httpOptions.traffic = Traffic::HttpPlatform;
     absl::StatusOr<std::unique_ptr<http::Client>> http = http::Client::create(context, httpOptions);
     if (!http.ok())
         return http.status();
--- a/src/rpc/channel.cpp
+++ b/src/rpc/channel.cpp
@@ -55,9 +55,9 @@
     return checkSizes(frame.json.size(), frame.attachment.size());
 }
 
-size_t Channel::Outgoing::bytes() const
+Traffic trafficOf(const std::string &method)
 {
-    return header.size() + frame.json.size() + frame.attachment.size();
+    return method.starts_with("request.") ? Traffic::RpcRequests : Traffic::RpcControl;
 }
 
 std::shared_ptr<Channel> Channel::create(Tcp::socket socket)
@@ -137,7 +137,9 @@
     if (!m_isOpen)
         return;
     Frame frame = std::exchange(m_incoming, {});
-    if (frame.json != heartbeatText())
+    if (frame.json == heartbeatText())
+        addReceived(Traffic::RpcControl, frame.bytes());
+    else
         m_events.received(std::move(frame));
     if (m_isOpen)
         readHeader();
@@ -159,7 +161,7 @@
                                  static_cast<uint32_t>(outgoing.frame.json.size()));
     boost::endian::store_big_u32(outgoing.header.data() + 4,
                                  static_cast<uint32_t>(outgoing.frame.attachment.size()));
-    const size_t bytes = outgoing.bytes();
+    const size_t bytes = outgoing.frame.bytes();
     if (m_queuedBytes.fetch_add(bytes) + bytes > maxOutputBytes) {
         m_queuedBytes -= bytes;
         return false;
@@ -188,7 +190,7 @@
         buffers.push_back(asio::buffer(outgoing.header));
         buffers.push_back(asio::buffer(outgoing.frame.json));
         buffers.push_back(asio::buffer(outgoing.frame.attachment));
-        bytes += outgoing.bytes();
+        bytes += outgoing.frame.bytes();
     }
     asio::async_write(
             m_socket, buffers,
@@ -228,7 +230,9 @@
         return closeNow(lost("the peer sent nothing within the silence limit"));
     if (!m_isWriting && m_output.empty() && now >= m_lastSent + heartbeatInterval) {
         m_lastSent = now;
-        send({.json = heartbeatText(), .attachment = {}});
+        Frame heartbeat{.json = heartbeatText(), .attachment = {}};
+        addSent(Traffic::RpcControl, heartbeat.bytes());
+        send(std::move(heartbeat));
     }
     waitForTick();
 }
--- a/src/rpc/channel.h
+++ b/src/rpc/channel.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/traffic.h"
 
 #include <absl/status/status.h>
 #include <boost/asio/any_io_executor.hpp>
@@ -30,12 +31,19 @@
 
 // Section: frames
 
+constexpr size_t frameHeaderBytes = 8; // the two lengths
+
 struct Frame
 {
     std::string json;       // one JSON-RPC text
     std::string attachment; // raw bytes
+
+    size_t bytes() const { return frameHeaderBytes + json.size() + attachment.size(); }
 };
 
+// What the frames of a method and of its answer are counted as.
+Traffic trafficOf(const std::string &method);
+
 // Error: BodyTooLarge, naming the limit that the frame passes.
 absl::Status checkSize(const Frame &frame);
 
@@ -84,14 +92,13 @@
     boost::asio::ip::tcp::socket m_socket;
     Timer m_timer;
     Events m_events;
-    std::array<uint8_t, 8> m_header = {};
+    std::array<uint8_t, frameHeaderBytes> m_header = {};
     Frame m_incoming;
 
     struct Outgoing
     {
-        std::array<uint8_t, 8> header;
+        std::array<uint8_t, frameHeaderBytes> header;
         Frame frame;
-        size_t bytes() const;
     };
     std::deque<Outgoing> m_output;
     bool m_isWriting = false;
--- a/src/rpc/peer.cpp
+++ b/src/rpc/peer.cpp
@@ -112,7 +112,10 @@
 void Peer::send(uint64_t id)
 {
     Call &call = *m_calls.at(id);
+    const size_t bytes = call.frame.bytes();
     call.isSent = m_channel->send(std::exchange(call.frame, {}));
+    if (call.isSent)
+        addSent(trafficOf(call.method), bytes);
     if (!call.isSent)
         finish(id,
                makeError(Failure::ConnectionRefused,
@@ -231,6 +234,9 @@
 void Peer::receive(Frame frame)
 {
     Incoming incoming = decode(frame.json, [](const std::string &) { return false; });
+    const auto call = m_calls.find(incoming.id);
+    addReceived(call == m_calls.end() ? Traffic::RpcControl : trafficOf(call->second->method),
+                frame.bytes());
     if (incoming.kind == Incoming::Kind::Result) {
         finish(incoming.id,
                Message{.content = std::move(incoming.content),
--- a/src/rpc/server.cpp
+++ b/src/rpc/server.cpp
@@ -42,11 +42,12 @@
     std::atomic<size_t> underWay = 0;
 };
 
-void sendError(Channel &channel, uint64_t id, const absl::Status &error)
+void sendError(Channel &channel, uint64_t id, Traffic traffic, const absl::Status &error)
 {
     Frame frame{.json = encodeError(id, typedErrorCode, std::string(error.message()),
                                     errorToJson(error)),
                 .attachment = {}};
+    addSent(traffic, frame.bytes());
     if (!channel.send(std::move(frame)))
         channel.close(makeError(Failure::ConnectionLost, "the output buffer is full"));
 }
@@ -56,10 +57,12 @@
 class PendingReply
 {
 public:
-    PendingReply(std::shared_ptr<Link> link, std::shared_ptr<Counters> counters, uint64_t id)
+    PendingReply(std::shared_ptr<Link> link, std::shared_ptr<Counters> counters, uint64_t id,
+                 Traffic traffic)
         : m_link(std::move(link))
         , m_counters(std::move(counters))
         , m_id(id)
+        , m_traffic(traffic)
     {
         ++m_link->underWay;
         ++m_counters->underWay;
@@ -80,12 +83,13 @@
         if (!channel || !channel->isOpen())
             return;
         if (!outcome.ok())
-            return sendError(*channel, m_id, outcome.status());
+            return sendError(*channel, m_id, m_traffic, outcome.status());
         Frame frame{.json = encodeResult(m_id, outcome->content),
                     .attachment = std::move(outcome->attachment)};
         const absl::Status size = checkSize(frame);
         if (!size.ok())
-            return sendError(*channel, m_id, size);
+            return sendError(*channel, m_id, m_traffic, size);
+        addSent(m_traffic, frame.bytes());
         if (!channel->send(std::move(frame)))
             channel->close(makeError(Failure::ConnectionLost, "the output buffer is full"));
     }
@@ -94,6 +98,7 @@
     std::shared_ptr<Link> m_link;
     std::shared_ptr<Counters> m_counters;
     uint64_t m_id;
+    Traffic m_traffic;
     std::atomic<bool> m_isAnswered = false;
 };
 
@@ -233,6 +238,7 @@
 {
     Incoming incoming =
             decode(frame.json, [this](const std::string &name) { return method(name) != nullptr; });
+    addReceived(trafficOf(incoming.method), frame.bytes());
     const std::shared_ptr<Channel> channel = link->channel.lock();
     if (!channel)
         return;
@@ -258,12 +264,13 @@
         return;
     if (link->underWay >= maxCallsPerConnection) {
         ++m_counters->refused;
-        return sendError(*channel, incoming.id,
+        return sendError(*channel, incoming.id, trafficOf(incoming.method),
                          makeError(Failure::QueueFull, "too many calls under way on a connection",
                                    {.limit = absl::StrCat(maxCallsPerConnection, " calls")}));
     }
     ++m_counters->calls;
-    const auto pending = std::make_shared<PendingReply>(link, m_counters, incoming.id);
+    const auto pending = std::make_shared<PendingReply>(link, m_counters, incoming.id,
+                                                        trafficOf(incoming.method));
     Message message{.content = std::move(incoming.content), .attachment = std::move(attachment)};
     try {
         (*method)(std::move(message), [pending](absl::StatusOr<Message> outcome) {
--- a/src/scheduler/workerlink.cpp
+++ b/src/scheduler/workerlink.cpp
@@ -41,10 +41,12 @@
                    const std::string &address, Listener listener)
 {
     std::shared_ptr<WorkerLink> link(new WorkerLink(control, worker, address, std::move(listener)));
-    auto reports = http::Client::create(traffic, {.address = address, .maxConnections = 1});
+    auto reports = http::Client::create(
+            traffic, {.address = address, .maxConnections = 1, .traffic = Traffic::HttpWorkers});
     if (!reports.ok())
         return reports.status();
-    auto commands = http::Client::create(traffic, {.address = address, .maxConnections = 2});
+    auto commands = http::Client::create(
+            traffic, {.address = address, .maxConnections = 2, .traffic = Traffic::HttpWorkers});
     if (!commands.ok())
         return commands.status();
     link->m_reports = *std::move(reports);
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(closeAllKeepsBusyConnections);
     CPPUNIT_TEST(guardIsAskedWhenTheConnectionIsThere);
     CPPUNIT_TEST(malformedAddressIsTyped);
+    CPPUNIT_TEST(bytesAreCountedByPurpose);
     CPPUNIT_TEST_SUITE_END();
 
     Threads m_threads;
@@ -353,6 +354,25 @@
             CPPUNIT_ASSERT(failureOf(client.status()) == Failure::InvalidValue);
         }
     }
+
+    // Guards against bytes that are counted twice, not at all or for another purpose.
+    void bytesAreCountedByPurpose()
+    {
+        PlainServer server;
+        const auto client =
+                clientOf({.address = server.address(), .traffic = cwl::Traffic::HttpWorkers});
+        const cwl::TrafficBytes before = cwl::trafficBytes(cwl::Traffic::HttpWorkers);
+        std::future<Answer> answer = sendWith(*client, {.path = "/1"});
+        PlainSocket connection = server.accept();
+        const size_t requestBytes = connection.readTo("\r\n\r\n").size();
+        const std::string text =
+                "HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n" + std::string(9000, 'x');
+        connection.write(text);
+        CPPUNIT_ASSERT(resultOf(std::move(answer)).ok());
+        const cwl::TrafficBytes after = cwl::trafficBytes(cwl::Traffic::HttpWorkers);
+        CPPUNIT_ASSERT_EQUAL(uint64_t(requestBytes), after.sent - before.sent);
+        CPPUNIT_ASSERT_EQUAL(uint64_t(text.size()), after.received - before.received);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ClientTest);
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -2,6 +2,8 @@
 
 #include "fixture.h"
 
+#include "base/traffic.h"
+
 #include <atomic>
 #include <mutex>
 
@@ -68,6 +70,7 @@
     CPPUNIT_TEST(stoppedServerReadsRequestsThatArrived);
     CPPUNIT_TEST(answerAfterServerIsGoneIsIgnored);
     CPPUNIT_TEST(portInUseIsTyped);
+    CPPUNIT_TEST(bytesAreCountedOnce);
     CPPUNIT_TEST_SUITE_END();
 
     // Last in first out: the server goes before the threads that run it.
@@ -320,6 +323,22 @@
         const auto odd = Server::create(m_threads.context, {.address = "nowhere"}, echo);
         CPPUNIT_ASSERT(cwl::failureOf(odd.status()) == cwl::Failure::InvalidValue);
     }
+
+    // Guards against bytes that are counted twice or not at all, in the header, the body or the
+    // answer, which would make every figure of control cost wrong.
+    void bytesAreCountedOnce()
+    {
+        const std::string request = "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n"
+                                    "Connection: close\r\n\r\n"
+                + std::string(5000, 'x');
+        const cwl::TrafficBytes before = cwl::trafficBytes(cwl::Traffic::HttpServer);
+        PlainSocket socket(start({}));
+        socket.write(request);
+        CPPUNIT_ASSERT(socket.readToEnd());
+        const cwl::TrafficBytes after = cwl::trafficBytes(cwl::Traffic::HttpServer);
+        CPPUNIT_ASSERT_EQUAL(uint64_t(request.size()), after.received - before.received);
+        CPPUNIT_ASSERT_EQUAL(uint64_t(socket.received().size()), after.sent - before.sent);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerTest);
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -218,6 +218,9 @@
                              state["supervisor"]["children"][0]["name"].asString());
         const std::string metrics = running.fetch("/metrics").body;
         CPPUNIT_ASSERT(metrics.find("cwl_test_total 4\n") != std::string::npos);
+        CPPUNIT_ASSERT(state["traffic"]["httpServer"]["received"].asInt64() > 0);
+        CPPUNIT_ASSERT(metrics.find("cwl_traffic_bytes_total{traffic=\"httpServer\",")
+                       != std::string::npos);
         node->stop();
         CPPUNIT_ASSERT(running.exitCode() == ExitCode::Success);
     }
