Measure control in settled cells, all dimensions at once

Windows of 4 s also caught two or three reports of a worker. Ruled out: waiting in each cell with one cell after the other, which takes over 4 min. Change: a cell waits 12 s after it grew by instances, a process whose role changed in the window is left out, windows take 16 s, and the dimensions run at the same time in cells of their own.

--- a/bench/control/cell.cpp
+++ b/bench/control/cell.cpp
@@ -3,6 +3,7 @@
 #include "base/json.h"
 
 #include <stdexcept>
+#include <thread>
 
 namespace cwl::bench {
 
@@ -11,6 +12,8 @@
 using harness::Member;
 
 constexpr int64_t endpointGroups = 6;
+// A better-ranked member takes over a group 10 s after it appeared, so the roles are settled then.
+constexpr auto handOverTime = seconds(12);
 constexpr auto deadline = seconds(60); // for a change to take effect; only a fault takes so long
 
 Json::Value settingsWrite(const std::string &key, const Json::Value &value)
@@ -90,6 +93,8 @@
 
 void Cell::runInstances(size_t count)
 {
+    if (m_members.size() / 2 >= count)
+        return;
     for (size_t index = m_members.size() / 2; index < count; ++index) {
         for (Member *member : {&m_deployment.scheduler(index), &m_deployment.entry(index)}) {
             m_deployment.start(*member);
@@ -98,6 +103,7 @@
     }
     if (!m_deployment.waitForAllReady(BootClock::now() + deadline).empty())
         throw std::runtime_error("a process did not become ready\n" + m_harness.logs());
+    std::this_thread::sleep_for(handOverTime);
 }
 
 void Cell::list(const std::string &kind, int64_t from, int64_t to)
--- a/bench/control/main.cpp
+++ b/bench/control/main.cpp
@@ -1,7 +1,9 @@
 // Benchmark group "control": what control costs in cells of real processes without callers, against
 // the number of members, endpoints, teams, workers and running tasks. Prints
 // "control.<dimension>.<size>.<role>.<figure> value unit" a line, then the slope of each figure by
-// least squares, in the same unit for one more of the dimension.
+// least squares, in the same unit for one more of the dimension. The dimensions are measured at the
+// same time, each in a cell of its own: processor time and bytes are those of the process, so that
+// they take little harm from it, and one run takes two minutes.
 
 #include "cell.h"
 #include "usage.h"
@@ -10,6 +12,7 @@
 
 #include <cstdio>
 #include <functional>
+#include <future>
 #include <iostream>
 #include <map>
 #include <stdexcept>
@@ -32,9 +35,9 @@
   DIMENSION  members, endpoints, teams, workers or tasks; all of them if none is named
 )";
 
-constexpr Duration settleTime = seconds(2);   // between a change and the window
-constexpr Duration window = seconds(4);       // several periods of everything but lease renewals
-constexpr Duration tasksWindow = seconds(16); // task leases are renewed about every 15 s
+constexpr Duration settleTime = seconds(2); // between a change and the window
+// Several periods of everything that is periodic; task leases are renewed about every 15 s.
+constexpr Duration window = seconds(16);
 
 std::string unitOf(const std::string &name)
 {
@@ -51,72 +54,76 @@
     std::vector<double> values = {};
 };
 
-// Measures one cell at each size that `grow` brings it to.
-void measure(const std::string &dimension, const CellOptions &options,
-             const std::vector<int64_t> &sizes, Duration duration,
-             const std::function<void(Cell &, int64_t)> &grow)
+void print(std::string &output, const std::string &name, double value)
+{
+    char text[64];
+    std::snprintf(text, sizeof text, " %.5f ", value);
+    output += "control." + name + text + unitOf(name) + "\n";
+}
+
+// Measures one cell at each size that `grow` brings it to; returns the lines to print.
+std::string measure(const std::string &dimension, const CellOptions &options,
+                    const std::vector<int64_t> &sizes, Duration duration,
+                    const std::function<void(Cell &, int64_t)> &grow)
 {
     Cell cell(options);
     const Usage usage(cell.members(), cell.platform());
     std::map<std::string, Series> series;
+    std::string output;
     for (const int64_t size : sizes) {
         grow(cell, size);
         std::this_thread::sleep_for(settleTime);
         for (const auto &[name, value] : usage.measure(duration)) {
-            std::printf("control.%s.%d.%s %.3f %s\n", dimension.c_str(), int(size), name.c_str(),
-                        value, unitOf(name).c_str());
+            print(output, dimension + "." + std::to_string(size) + "." + name, value);
             series[name].sizes.push_back(double(size));
             series[name].values.push_back(value);
         }
-        std::fflush(stdout);
     }
     for (const auto &[name, points] : series) {
         if (points.sizes.size() < 2)
             continue;
         const Line line = fit(points.sizes, points.values);
-        const std::string prefix = "control." + dimension + ".";
-        std::printf("%sslope.%s %.5f %s\n%sbase.%s %.3f %s\n", prefix.c_str(), name.c_str(),
-                    line.slope, unitOf(name).c_str(), prefix.c_str(), name.c_str(), line.base,
-                    unitOf(name).c_str());
+        print(output, dimension + ".slope." + name, line.slope);
+        print(output, dimension + ".base." + name, line.base);
     }
-    std::fflush(stdout);
+    return output;
 }
 
-void measureMembers()
+std::string measureMembers()
 {
-    measure("members", {.instances = 1, .mostInstances = 12}, {2, 6, 12, 24}, window,
-            [](Cell &cell, int64_t size) { cell.runInstances(size_t(size / 2)); });
+    return measure("members", {.instances = 1, .mostInstances = 12}, {2, 6, 12, 24}, window,
+                   [](Cell &cell, int64_t size) { cell.runInstances(size_t(size / 2)); });
 }
 
-void measureEndpoints()
+std::string measureEndpoints()
 {
-    measure("endpoints", {.mostEndpoints = 192}, {12, 48, 192}, window,
-            [](Cell &cell, int64_t size) { cell.listEndpoints(size); });
+    return measure("endpoints", {.mostEndpoints = 192}, {12, 48, 192}, window,
+                   [](Cell &cell, int64_t size) { cell.listEndpoints(size); });
 }
 
-void measureTeams()
+std::string measureTeams()
 {
-    measure("teams", {}, {10, 100, 280}, window,
-            [](Cell &cell, int64_t size) { cell.keepTeams(size); });
+    return measure("teams", {}, {10, 100, 280}, window,
+                   [](Cell &cell, int64_t size) { cell.keepTeams(size); });
 }
 
-void measureWorkers()
+std::string measureWorkers()
 {
-    measure("workers", {.mostWorkers = 600}, {48, 150, 300, 600}, window,
-            [](Cell &cell, int64_t size) { cell.listWorkers(size); });
+    return measure("workers", {.mostWorkers = 600}, {48, 150, 300, 600}, window,
+                   [](Cell &cell, int64_t size) { cell.listWorkers(size); });
 }
 
-void measureTasks()
+std::string measureTasks()
 {
-    measure("tasks", {.mostWorkers = 150, .workers = 150}, {500, 2000, 6000}, tasksWindow,
-            [](Cell &cell, int64_t size) { cell.runTasks(size); });
+    return measure("tasks", {.mostWorkers = 150, .workers = 150}, {500, 2000, 6000}, window,
+                   [](Cell &cell, int64_t size) { cell.runTasks(size); });
 }
 
 } // namespace
 
 int main(int argc, char **argv)
 {
-    const std::map<std::string, std::function<void()>> dimensions = {
+    const std::map<std::string, std::function<std::string()>> dimensions = {
             {"members", measureMembers}, {"endpoints", measureEndpoints}, {"teams", measureTeams},
             {"workers", measureWorkers}, {"tasks", measureTasks},
     };
@@ -125,12 +132,15 @@
         std::vector<std::string> chosen = arguments["DIMENSION"].asStringList();
         if (chosen.empty())
             chosen = {"members", "endpoints", "teams", "workers", "tasks"};
+        std::vector<std::future<std::string>> outputs;
         for (const std::string &dimension : chosen) {
             const auto found = dimensions.find(dimension);
             if (found == dimensions.end())
                 throw std::runtime_error("no dimension is named '" + dimension + "'");
-            found->second();
+            outputs.push_back(std::async(std::launch::async, found->second));
         }
+        for (std::future<std::string> &output : outputs)
+            std::cout << output.get() << std::flush;
     } catch (const docopt::DocoptExitHelp &) {
         std::cout << usage;
         return 0;
--- a/bench/control/usage.cpp
+++ b/bench/control/usage.cpp
@@ -84,6 +84,8 @@
         const Reading &first = before[index];
         const Reading last = read(member);
         const std::string role = roleOf(member, last.state);
+        if (roleOf(member, first.state) != role)
+            continue; // it is neither the cost of one role nor of the other
         const double cpuSeconds =
                 std::chrono::duration<double>(processorTime - first.processorTime).count();
         processes[role] += 1;
