--- a/src/ownership/groupkeeper.cpp
+++ b/src/ownership/groupkeeper.cpp
@@ -1,5 +1,7 @@
 #include "ownership/groupkeeper.h"
 
+#include "node/log.h"
+
 #include "base/error.h"
 
 #include <absl/strings/str_cat.h>
@@ -133,8 +135,8 @@
     ++m_claimed;
     m_claims.erase(claimed.group);
     publish();
-    m_io.log(absl::StrCat("owns group ", claimed.group.value(), " at epoch ",
-                          claimed.epoch.value()));
+    log::info("group_claimed",
+              {{"group", claimed.group.value()}, {"epoch", claimed.epoch.value()}});
     Acquisition acquisition;
     acquisition.group = claimed.group;
     acquisition.epoch = claimed.epoch;
@@ -182,7 +184,7 @@
         return;
     held->second.stage = Stage::Releasing;
     m_watch.forget(group);
-    m_io.log(absl::StrCat("hands over group ", group.value()));
+    log::info("group_hand_over", {{"group", group.value()}});
     const std::weak_ptr<const bool> alive = m_alive;
     m_listener.release(group, [this, alive, group, epoch = held->second.epoch] {
         if (!alive.expired())
--- a/src/ownership/io.h
+++ b/src/ownership/io.h
@@ -30,7 +30,6 @@
     std::function<void(const std::string &address, const std::string &method, Json::Value,
                        TimePoint deadline, CallCallback)>
             call;
-    std::function<void(const std::string &message)> log;
 };
 
 // Reads and writes of the store, in all and per second.
@@ -63,7 +62,6 @@
 
     TimePoint now() const { return m_transport.now(); }
     std::string randomId() const { return m_transport.randomId(); }
-    void log(const std::string &message) const { m_transport.log(message); }
     void commit(platform::Commit commit, Duration timeout, platform::CommitCallback callback);
     void read(std::vector<platform::Read> reads, Duration timeout, platform::ReadCallback callback);
     void call(const std::string &address, const std::string &method, Json::Value parameters,
--- a/src/ownership/member.cpp
+++ b/src/ownership/member.cpp
@@ -6,7 +6,6 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <log4cxx/logger.h>
 
 #include <utility>
 
@@ -14,12 +13,6 @@
 
 namespace {
 
-log4cxx::LoggerPtr logger()
-{
-    static const log4cxx::LoggerPtr instance = log4cxx::Logger::getLogger("ownership");
-    return instance;
-}
-
 absl::StatusOr<Json::Value> contentOf(const absl::StatusOr<rpc::Message> &message)
 {
     if (!message.ok())
@@ -123,7 +116,6 @@
                                 Json::Value parameters, TimePoint deadline, CallCallback callback) {
             call(address, method, std::move(parameters), deadline, std::move(callback));
         };
-        transport.log = [](const std::string &message) { LOG4CXX_INFO(logger(), message); };
         return transport;
     }
 
--- a/src/ownership/runner.cpp
+++ b/src/ownership/runner.cpp
@@ -1,5 +1,7 @@
 #include "ownership/runner.h"
 
+#include "node/log.h"
+
 #include "base/error.h"
 #include "base/json.h"
 #include "ownership/constants.h"
@@ -121,7 +123,7 @@
 {
     m_validUntil = 0;
     ++m_lapses;
-    m_transport.log(absl::StrCat("member ", m_self.id.value(), " is not valid any more"));
+    log::warn("member_lapsed", {{"member", m_self.id.value()}});
     const std::vector<GroupId> groups = m_incarnation->keeper.heldGroups();
     publishOwned({});
     m_incarnation.reset();
--- a/src/ownership/takeover.cpp
+++ b/src/ownership/takeover.cpp
@@ -1,5 +1,7 @@
 #include "ownership/takeover.h"
 
+#include "node/log.h"
+
 #include "base/error.h"
 #include "base/json.h"
 #include "ownership/assignment.h"
@@ -140,8 +142,7 @@
                     if (!answer.ok())
                         return;
                     ++m_deletes;
-                    m_io.log(absl::StrCat("deleted the row of member ", member.value(), " (",
-                                          reason, ")"));
+                    log::info("member_deleted", {{"member", member.value()}, {"fence", reason}});
                     m_directory.removeMember(member);
                 });
 }
--- a/tests/ownership/simulation.cpp
+++ b/tests/ownership/simulation.cpp
@@ -165,7 +165,6 @@
     Transport transport;
     transport.now = [this, i] { return clock(i); };
     transport.randomId = [this] { return "id" + std::to_string(++m_ids); };
-    transport.log = [](const std::string &) {};
     transport.commit = [this, i](platform::Commit request, TimePoint deadline,
                                  platform::CommitCallback callback) {
         commit(i, std::move(request), deadline, std::move(callback));
