Judge deadlines by a high estimate of the service time

The slot of an unanswered request stays in use, and a busy endpoint's /status cannot show that it is free. Ruled out: taking requests under way off the reported number. A request still on its way to the endpoint is not in that number, so slots could be passed. Change: admission and dispatch use the average service time and three mean deviations.

--- a/src/requests/endpointgroup.cpp
+++ b/src/requests/endpointgroup.cpp
@@ -163,7 +163,7 @@
 Duration EndpointGroup::expectedService(const std::string &method, TimePoint now) const
 {
     const auto found = m_methodTimes.find(method);
-    return found == m_methodTimes.end() ? Duration(0) : found->second.estimate(now);
+    return found == m_methodTimes.end() ? Duration(0) : found->second.highEstimate(now);
 }
 
 // Section: sending
--- a/src/requests/servicetime.h
+++ b/src/requests/servicetime.h
@@ -18,10 +18,16 @@
     // request for ever.
     Duration estimate(TimePoint now) const;
 
+    // A time that few requests exceed: the average and three mean deviations. Fades likewise.
+    Duration highEstimate(TimePoint now) const;
+
     int64_t count() const { return m_count; } // observations so far
 
 private:
+    Duration faded(Duration value, TimePoint now) const;
+
     Duration m_average = {};
+    Duration m_deviation = {}; // moving average of the distance from the average
     TimePoint m_last = {};
     int64_t m_count = 0;
 };
