Test that promises hold off a takeover by readers of the store

Change: the simulation can fail relays; an owner that is cut off lives on promises for 60 s while the others read the store.

Conclusion: the fence is now covered at the level of the runner too.

--- a/tests/ownership/runner_test.cpp
+++ b/tests/ownership/runner_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(groupsAreTakenOverAfterAKill);
     CPPUNIT_TEST(lastMemberTakesOverAlone);
     CPPUNIT_TEST(memberCutFromStoreRenewsThroughPeer);
+    CPPUNIT_TEST(promisesHoldOffATakeover);
     CPPUNIT_TEST(outageIsBridgedByPromises);
     CPPUNIT_TEST(outageEndsWithoutAMajority);
     CPPUNIT_TEST(pauseLosesGroupsBeforeNewRegistration);
@@ -78,6 +79,18 @@
         CPPUNIT_ASSERT(simulation->process(0).runner->state()["lease"]["relayed"].asInt() > 60);
     }
 
+    // Guards against a takeover without votes from an owner that lives on promises only.
+    void promisesHoldOffATakeover()
+    {
+        const auto simulation = settled(3, 6);
+        const size_t owner = simulation->validOwners(simulation->groups()[0]).at(0);
+        const MemberId before = simulation->process(owner).runner->self().id;
+        simulation->process(owner).isCutFromStore = true;
+        simulation->isRelayOut = true;
+        simulation->runFor(seconds(60), [&] { CPPUNIT_ASSERT(simulation->hasSettled()); });
+        CPPUNIT_ASSERT(before == simulation->process(owner).runner->self().id);
+    }
+
     // Guards against owners that stop work because the store is down, and against a member that
     // goes on past the time at which others may take over without votes.
     void outageIsBridgedByPromises()
--- a/tests/ownership/simulation.cpp
+++ b/tests/ownership/simulation.cpp
@@ -307,6 +307,8 @@
         reply(runner.vote(parameters));
     else if (method == "group.owners")
         reply(runner.owners());
+    else if (method == "member.relayRenewal" && isRelayOut)
+        reply(makeError(Failure::StoreUnavailable, "relays are out"));
     else if (method == "member.relayRenewal")
         runner.relayRenewal(parameters, std::move(reply));
     else
--- a/tests/ownership/simulation.h
+++ b/tests/ownership/simulation.h
@@ -56,6 +56,7 @@
     bool isOutage = false;
     int lostAnswers = 0;                    // percent of commits whose answer is lost
     int lostCalls = 0;                      // percent of calls between processes that are lost
+    bool isRelayOut = false;                // peers cannot relay renewals
     bool hasSlowMessages = false;           // some messages take up to 5 s
     std::function<void()> beforeGroupsRead; // runs between the reads of the two tables
 
