Wait for the job store before a group is handed over

Cause: the next owner knows only what is in the store, so a hand-over with unwritten jobs lost them.

--- a/src/scheduler/groupowner.cpp
+++ b/src/scheduler/groupowner.cpp
@@ -159,7 +159,8 @@
             isStartOpen = isStartOpen || task.life.phase() == TaskPhase::Sent
                     || task.life.phase() == TaskPhase::Unsure;
         }
-        if (!isStartOpen)
+        // The next owner knows only the jobs and outcomes that are in the store.
+        if (!isStartOpen && m_store->pending() == 0)
             std::exchange(m_released, {})();
     }
     m_tickTimer.expires_after(tickInterval);
--- a/src/scheduler/jobrecord.cpp
+++ b/src/scheduler/jobrecord.cpp
@@ -15,7 +15,6 @@
 
 namespace {
 
-using placement::JobKind;
 using placement::JobSpec;
 using placement::PackingPolicy;
 
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -60,7 +60,7 @@
     options.info.role = ownership::Role::Scheduler;
     options.info.instance = settings.instance;
     options.info.dataCentre = settings.dataCentre;
-    options.info.rpcAddress = settings.address + ":" + std::to_string(m_rpcServer->port());
+    options.info.rpcAddress = settings::rpcAddress(settings, m_rpcServer->port());
     options.info.httpAddress = settings.address + ":" + std::to_string(m_node.httpPort());
     options.peers = settings.peers;
     auto member = ownership::Member::create(m_node.controlContext(), *m_platform, *m_rpcServer,
--- /dev/null
+++ b/tests/scheduler/outage_test.cpp
@@ -0,0 +1,47 @@
+// Test of cwl-scheduler with real processes while the store is down.
+
+#include "cell.h"
+
+namespace {
+
+using namespace cwl;
+using namespace cwl::scheduler::test;
+
+class SchedulerOutageTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(SchedulerOutageTest);
+    CPPUNIT_TEST(jobAcceptedInAStoreOutageRunsAndIsStoredLater);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a false promise of durability, and against work that stops with the store.
+    void jobAcceptedInAStoreOutageRunsAndIsStoredLater()
+    {
+        Cell cell(3);
+        CPPUNIT_ASSERT_EQUAL(200, cell.submit(job("before", "batch", 1, 100)).status);
+        CPPUNIT_ASSERT_MESSAGE(cell.logs(), cell.waitForDone("before"));
+        setOutage(cell, true);
+        const JsonAnswer accepted = cell.submit(job("during", "batch", 6, 200));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(cell.logs(), 200, accepted.status);
+        CPPUNIT_ASSERT(!accepted.body["durable"].asBool());
+        CPPUNIT_ASSERT_MESSAGE(cell.logs(), cell.waitForDone("during"));
+        setOutage(cell, false);
+        CPPUNIT_ASSERT_MESSAGE(cell.logs(), cell.waitForJob("during", [](const Json::Value &body) {
+            return body["durable"].asBool();
+        }));
+        cell.checkJudgements(7);
+    }
+
+private:
+    static void setOutage(const Cell &cell, bool isOut)
+    {
+        Json::Value control;
+        control["outage"] = isOut;
+        const auto set = postJson(cell.standins().platform, "/control", control);
+        CPPUNIT_ASSERT(set.ok() && set->status == 200);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SchedulerOutageTest);
+
+} // namespace
