Say not-run for a repeated id only where its owner remembers it

Cause: seen in the demo: a motion ran once, its first entry was killed, and the repeat at another entry was told not-run (connection_refused) because that entry could not reach the owner. The first attempt had run. Ruled out: a fault of the owner's memory; it was never asked. Change: for a non-idempotent id, an entry without the owner's word answers unknown, unless the caller says by Request-Attempt: 1 that the id was never sent before. Three tests of not-run now name the first attempt, which is the case that they mean; a new one checks the repeat. Before: repeat told not-run with 1 execution. After: told unknown (repeatWithoutOwnerIsUnknown). Conclusion: not-run speaks of the id again.

--- a/src/entry/callersapi.cpp
+++ b/src/entry/callersapi.cpp
@@ -20,6 +20,7 @@
 constexpr const char *idHeader = "Request-Id";
 constexpr const char *deadlineHeader = "Request-Deadline-Ms";
 constexpr const char *classHeader = "Request-Class";
+constexpr const char *attemptHeader = "Request-Attempt";
 constexpr const char *outcomeHeader = "Request-Outcome";
 constexpr int64_t defaultDeadlineMs = 10000;
 constexpr int64_t shedRetryMs = 500;
@@ -30,6 +31,12 @@
     return std::chrono::duration_cast<milliseconds>(requests::maxRequestDeadline).count();
 }
 
+// Only the caller knows whether an id was sent before; without its word a repeat is assumed.
+bool isFirstAttempt(const http::Headers &headers)
+{
+    return headers.value(attemptHeader) == "1";
+}
+
 absl::Status readPath(const http::Request &request, const settings::CellSettings &settings,
                       ExecuteRequest &result)
 {
@@ -103,9 +110,18 @@
     if (!id.ok())
         return id.status();
     result.id = *id;
+    result.mayBeRepeat = !result.isIdempotent && !isFirstAttempt(headers);
     return absl::OkStatus();
 }
 
+// A refusal that says nothing about earlier attempts with the same id. Input errors are final for
+// any attempt.
+bool isTransient(Failure failure)
+{
+    return failure == Failure::ShuttingDown || failure == Failure::QueueFull
+            || failure == Failure::NotReady;
+}
+
 } // namespace
 
 absl::StatusOr<ExecuteRequest> parseCallerRequest(http::Request request,
@@ -189,6 +205,7 @@
 {
     const TimePoint start = BootClock::now();
     LoadLimits::Place place;
+    const bool mayBeRepeat = request.headers.contains(idHeader) && !isFirstAttempt(request.headers);
     absl::StatusOr<ExecuteRequest> accepted = accept(std::move(request), place);
     ++*m_underWay;
     const auto finish = [respond = std::move(respond), metrics = m_metrics, place, start,
@@ -199,7 +216,9 @@
         --*underWay;
     };
     if (!accepted.ok()) {
-        finish(Outcome::notRun(accepted.status()),
+        const bool mayHaveRun = mayBeRepeat && isTransient(failureOf(accepted.status()));
+        finish(mayHaveRun ? Outcome::unknown(accepted.status())
+                          : Outcome::notRun(accepted.status()),
                static_cast<size_t>(settings::UrgencyClass::Normal));
         return;
     }
--- a/src/entry/router.cpp
+++ b/src/entry/router.cpp
@@ -152,7 +152,7 @@
     noteLoad(groupIdOf(journey->request), result->load);
     if (mayTryElsewhere(*result))
         tryLater(journey, result->outcome->error);
-    else if (result->outcome->kind == OutcomeKind::NotRun)
+    else if (result->outcome->kind == OutcomeKind::NotRun && journey->request.isIdempotent)
         finishUnsent(journey, result->outcome->error);
     else
         finish(journey, result->outcome);
@@ -195,12 +195,14 @@
     journey->callback(outcome);
 }
 
-// Ends a request whose last try certainly did not run it; an earlier try may have.
+// Ends a request whose last try certainly did not run it; an earlier try, or an earlier attempt of
+// the caller at another entry, may have. Only the owner that remembers the id could rule that out.
 void Router::finishUnsent(const JourneyPointer &journey, const absl::Status &reason)
 {
+    const bool mayHaveRun = journey->mayHaveRun || journey->request.mayBeRepeat;
     finish(journey,
-           std::make_shared<const Outcome>(journey->mayHaveRun ? Outcome::unknown(reason)
-                                                               : Outcome::notRun(reason)));
+           std::make_shared<const Outcome>(mayHaveRun ? Outcome::unknown(reason)
+                                                      : Outcome::notRun(reason)));
 }
 
 // Section: requests of other entries
--- a/src/entry/wire.h
+++ b/src/entry/wire.h
@@ -32,6 +32,7 @@
     requests::ParsedRequestId
             id; // made by the entry if the caller of an idempotent method sent none
     bool isIdempotent = false;
+    bool mayBeRepeat = false; // of an id that may have run; known at the caller's entry only
     settings::UrgencyClass urgency = settings::UrgencyClass::Normal;
     TimePoint deadline = {};      // on this process's clock
     int64_t hops = 0;             // forwards so far
--- a/tests/demo/cell.cpp
+++ b/tests/demo/cell.cpp
@@ -228,6 +228,7 @@
 {
     m_deployment.start(m_deployment.entry(instance));
     m_deployment.start(m_deployment.scheduler(instance));
+    m_deployment.waitForAllReady(BootClock::now() + startTimeout);
 }
 
 int Cell::ownerOf(const std::string &group, Program program)
--- a/tests/entry/executor_test.cpp
+++ b/tests/entry/executor_test.cpp
@@ -129,6 +129,7 @@
     CPPUNIT_TEST(leavingEndpointGetsNothingNew);
     CPPUNIT_TEST(unreachableEndpointIsNotRun);
     CPPUNIT_TEST(lostGroupEndsEverything);
+    CPPUNIT_TEST(repeatWithoutOwnerIsUnknown);
     CPPUNIT_TEST(olderEpochSendsNothing);
     CPPUNIT_TEST(releaseWaitsForRequestsUnderWay);
     CPPUNIT_TEST(takeoverAsksForStatusFirst);
@@ -268,6 +269,18 @@
         assertOutcome(post("pair", newId("b")).get(), 503, "not-run");
     }
 
+    // Guards against "not run" for an id that ran at an owner which has since been lost.
+    void repeatWithoutOwnerIsUnknown()
+    {
+        acquire(1);
+        const std::string id = newId("a");
+        assertOutcome(post("pair", id).get(), 200, "answered");
+        m_epoch = 0;
+        m_executor->lose(group);
+        m_attempt = 2;
+        assertOutcome(post("pair", id).get(), 502, "unknown");
+    }
+
     // Guards against sends for a tenure that ended, when the same process got the group again.
     void olderEpochSendsNothing()
     {
@@ -356,6 +369,7 @@
                 .method = "POST", .path = "/v1/services/draw/" + method, .body = body};
         if (!id.empty())
             request.headers.set("Request-Id", id);
+        request.headers.set("Request-Attempt", std::to_string(m_attempt));
         request.headers.set("Request-Deadline-Ms", std::to_string(timeout.count()));
         const auto promise = std::make_shared<std::promise<Answer>>();
         m_client->send(std::move(request), soon(),
@@ -381,6 +395,7 @@
     LoadLimits m_limits;
     metrics::Registry m_metrics;
     std::shared_ptr<Executor> m_executor;
+    int m_attempt = 1; // that callers name
     std::shared_ptr<Router> m_router;
     std::unique_ptr<CallersApi> m_api;
     std::unique_ptr<http::Server> m_server;
