--- a/tests/ownership/simulation.cpp
+++ b/tests/ownership/simulation.cpp
@@ -165,7 +165,6 @@
     Transport transport;
     transport.now = [this, i] { return clock(i); };
     transport.randomId = [this] { return "id" + std::to_string(++m_ids); };
-    transport.log = [](const std::string &) {};
     transport.commit = [this, i](platform::Commit request, TimePoint deadline,
                                  platform::CommitCallback callback) {
         commit(i, std::move(request), deadline, std::move(callback));
@@ -307,6 +306,8 @@
         reply(runner.vote(parameters));
     else if (method == "group.owners")
         reply(runner.owners());
+    else if (method == "member.relayRenewal" && isRelayOut)
+        reply(makeError(Failure::StoreUnavailable, "relays are out"));
     else if (method == "member.relayRenewal")
         runner.relayRenewal(parameters, std::move(reply));
     else
