Wait for an owner before the demo kills it

Cause: the demo ended with an exception while a group was between two owners. Conclusion: a group without an owner counts as a broken promise now.

--- a/tests/demo/main.cpp
+++ b/tests/demo/main.cpp
@@ -222,7 +222,15 @@
 
 void showTakeover(Cell &cell, const CellPlan &plan, Report &report)
 {
-    const int owner = cell.ownerOf("worker/" + plan.name, Program::Scheduler);
+    int owner = -1;
+    cwl::harness::waitUntil(cwl::harness::patience(), [&] {
+        owner = cell.ownerOf("worker/" + plan.name, Program::Scheduler);
+        return owner >= 0;
+    });
+    if (owner < 0) {
+        report.check("urgent work runs within 9 s of losing the owner", false, "no owner to kill");
+        return;
+    }
     const size_t other = owner == 0 ? 1 : 0;
     cell.killInstance(static_cast<size_t>(owner));
     const auto killed = cwl::BootClock::now();
