Keep room on workers with accelerators for tasks that wait for them

Cause: with a backlog, plain tasks took the processors and memory beside free accelerators.

Ruled out: gangs (the workload has none) and the tail of long tasks alone, since the long backlog shows the same difference.

Change: while tasks wait for accelerators, a worker with as many free accelerators as the smallest waiting demand takes no plain task. Two exceptions: a class below its guaranteed share, once nothing else can start; and a demand of which nothing has started for 10 minutes.

--- a/src/placement/candidateindex.cpp
+++ b/src/placement/candidateindex.cpp
@@ -133,7 +133,8 @@
     const size_t lowestMemory = memoryLevel(search.demand.memory.value());
     const uint64_t mask = ~uint64_t(0) << coreLevel(search.demand.cores.value());
     const size_t lowest = acceleratorLevel(search.demand.accelerators.value());
-    for (size_t accelerators = lowest; accelerators < acceleratorLevels; ++accelerators) {
+    const size_t highest = acceleratorLevel(search.mostAccelerators);
+    for (size_t accelerators = lowest; accelerators <= highest; ++accelerators) {
         for (size_t step = lowestMemory; step < memoryLevels; ++step) {
             const size_t memory =
                     search.looseFirst ? memoryLevels - 1 - (step - lowestMemory) : step;
--- a/src/placement/candidateindex.h
+++ b/src/placement/candidateindex.h
@@ -26,6 +26,7 @@
         bool looseFirst = false; // much free capacity first
         size_t perBucket = 2;    // candidates taken from one bucket
         size_t limit = 24;       // candidates taken in all
+        int64_t mostAccelerators = std::numeric_limits<int64_t>::max(); // free on a candidate
     };
     // Appends workers with room for the demand to `found`, up to the limits.
     void collect(const Search &search, std::vector<WorkerNumber> &found) const;
--- a/src/placement/fleet.cpp
+++ b/src/placement/fleet.cpp
@@ -206,16 +206,22 @@
 }
 
 void Fleet::collect(const CandidateIndex::Search &search, uint16_t place,
-                    std::vector<WorkerNumber> &found) const
-{
+                    const std::vector<int64_t> &limits, std::vector<WorkerNumber> &found) const
+{
+    const auto collectFrom = [&](size_t from, size_t kind) {
+        CandidateIndex::Search limited = search;
+        if (kind == 1 && from < limits.size())
+            limited.mostAccelerators = limits[from];
+        m_indexes[from].indexes[kind].collect(limited, found);
+    };
     const bool needsAccelerators = search.demand.accelerators.value() > 0;
     const size_t before = found.size();
     for (size_t kind = needsAccelerators ? 1 : 0; kind < 2; ++kind) {
         if (place != anyPlace) {
-            m_indexes[place].indexes[kind].collect(search, found);
+            collectFrom(place, kind);
         } else {
-            for (const Place &each : m_indexes)
-                each.indexes[kind].collect(search, found);
+            for (size_t each = 0; each < m_indexes.size(); ++each)
+                collectFrom(each, kind);
         }
         if (found.size() > before)
             return;
--- a/src/placement/fleet.h
+++ b/src/placement/fleet.h
@@ -91,12 +91,14 @@
 
     // Section: search
 
-    uint16_t placeOf(const DataCentreId &dataCentre);         // numbers a data centre
+    uint16_t placeOf(const DataCentreId &dataCentre); // numbers a data centre
+    size_t places() const { return m_indexes.size(); }
     uint16_t findPlace(const DataCentreId &dataCentre) const; // unknownPlace if it has no number
     // Appends usable workers with room, of one place or of all. Workers without accelerators come
-    // first and alone unless none of them has room or the demand includes accelerators.
+    // first and alone unless none of them has room or the demand includes accelerators. `limits`
+    // holds the most free accelerators that a candidate may have, by place; it may be shorter.
     void collect(const CandidateIndex::Search &search, uint16_t place,
-                 std::vector<WorkerNumber> &found) const;
+                 const std::vector<int64_t> &limits, std::vector<WorkerNumber> &found) const;
 
 private:
     struct Place
--- a/src/placement/gangs.cpp
+++ b/src/placement/gangs.cpp
@@ -25,7 +25,7 @@
     }
     if (placeGang(number, now, decision))
         return true;
-    m_queue.blockSize(number);
+    m_queue.blockSize(number, false);
     addTimer(Timer::Kind::GangSize, now + gangRetryInterval, number);
     if (m_holds[static_cast<size_t>(job.urgency)].job == noNumber)
         planHold(number, now);
@@ -38,7 +38,7 @@
     m_gangPlan.clear();
     for (uint32_t task = 0; task < job.count; ++task) {
         Score score;
-        const std::optional<WorkerNumber> worker = findWorker(job, score);
+        const std::optional<WorkerNumber> worker = findWorker(job, m_noLimits, score);
         if (!worker)
             break;
         m_fleet.hold(*worker, job.each);
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -32,6 +32,12 @@
                       XXH3_64bits_withSeed(rack.data(), rack.size(), worker.place));
 }
 
+bool isAnyLimited(const std::vector<int64_t> &limits)
+{
+    return std::any_of(limits.begin(), limits.end(),
+                       [](int64_t limit) { return limit != Queue::noAcceleratorLimit; });
+}
+
 } // namespace
 
 Planner::Planner(const Options &options)
@@ -150,18 +156,51 @@
 {
     // Each pass without a start blocks a size, parks a team or holds room for a gang.
     bool isBelowGuarantee = false;
+    updateLimits(now);
     for (JobNumber job = chooseJob(now, isBelowGuarantee); job != noNumber;
          job = chooseJob(now, isBelowGuarantee)) {
         const UrgencyClass urgency = m_jobs[job].urgency;
         const bool isGang = m_jobs[job].kind == JobKind::Gang;
-        if (isGang ? startGang(job, now, decision) : startOne(job, now, decision))
+        if (isGang ? startGang(job, now, decision) : startOne(job, m_limits, now, decision))
             return true;
         if (isBelowGuarantee && m_queue.isBlocked(job) && breakBorrowedHolds(urgency))
             m_queue.unblockSize(Queue::sizeOf(m_jobs[job]));
+        updateLimits(now);
+    }
+    return startKeptOut(now, decision);
+}
+
+bool Planner::startKeptOut(TimePoint now, Decision &decision)
+{
+    // A class below its guaranteed share does not wait for room that others do not use.
+    for (size_t index = 0; index < urgencyClassCount; ++index) {
+        const auto urgency = static_cast<UrgencyClass>(index);
+        if (!m_accounts.isBelowGuarantee(urgency, m_fleet.total()))
+            continue;
+        for (JobNumber job = m_queue.nextKeptOut(urgency); job != noNumber;
+             job = m_queue.nextKeptOut(urgency)) {
+            if (startOne(job, m_noLimits, now, decision))
+                return true;
+        }
     }
     return false;
 }
 
+void Planner::updateLimits(TimePoint now)
+{
+    m_queue.findAcceleratorLimits(m_fleet.places(), now - longestKeepOut, m_newLimits);
+    bool isRaised = m_newLimits.size() != m_limits.size();
+    for (size_t place = 0; place < m_newLimits.size() && !isRaised; ++place)
+        isRaised = m_newLimits[place] > m_limits[place];
+    std::swap(m_limits, m_newLimits);
+    if (isRaised)
+        m_queue.unblockKeptOut();
+    if (!m_isLimitTimerSet && isAnyLimited(m_limits)) {
+        m_isLimitTimerSet = true;
+        addTimer(Timer::Kind::Limits, now + longestKeepOut, 0);
+    }
+}
+
 std::optional<TimePoint> Planner::nextWake() const
 {
     if (m_timers.empty())
@@ -169,7 +208,8 @@
     return m_timers.top().at;
 }
 
-bool Planner::startOne(JobNumber number, TimePoint now, Decision &decision)
+bool Planner::startOne(JobNumber number, const std::vector<int64_t> &limits, TimePoint now,
+                       Decision &decision)
 {
     Job &job = m_jobs[number];
     if (!m_accounts.team(job.team).hasQuotaFor(job.each)) {
@@ -177,11 +217,12 @@
         return false;
     }
     Score score;
-    const std::optional<WorkerNumber> worker = findWorker(job, score);
+    const std::optional<WorkerNumber> worker = findWorker(job, limits, score);
     if (!worker) {
-        m_queue.blockSize(number);
+        m_queue.blockSize(number, job.each.accelerators.value() == 0 && isAnyLimited(limits));
         return false;
     }
+    m_queue.noteStart(Queue::sizeOf(job), now);
     const uint32_t index = takeReadyIndex(job);
     if (!job.hasReadyTask())
         m_queue.remove(number);
@@ -194,7 +235,8 @@
     return job.policy.value_or(m_accounts.team(job.team).spec.packing);
 }
 
-std::optional<WorkerNumber> Planner::findWorker(const Job &job, Score &score)
+std::optional<WorkerNumber> Planner::findWorker(const Job &job, const std::vector<int64_t> &limits,
+                                                Score &score)
 {
     const Packing &packing = packingOf(policyOf(job));
     CandidateIndex::Search search{.demand = job.each, .looseFirst = packing.prefersLoose()};
@@ -205,7 +247,8 @@
         countReplicas(job);
     }
     m_found.clear();
-    m_fleet.collect(search, job.place, m_found);
+    m_fleet.collect(search, job.place, job.each.accelerators.value() > 0 ? m_noLimits : limits,
+                    m_found);
     std::optional<WorkerNumber> best;
     for (const WorkerNumber worker : m_found) {
         // A worker on trial takes one task, so it cannot take part in a gang.
--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -42,6 +42,10 @@
 constexpr Duration agingPerClass = std::chrono::minutes(10);
 constexpr Duration gangRetryInterval = milliseconds(250); // between searches for the same gang
 constexpr Duration holdRevisionInterval = seconds(2); // after which held room is looked for anew
+// Workers with accelerators stay closed to other tasks, while some wait for accelerators, until
+// none of those has started for this long. Longer than most tasks run, so that room can become
+// free.
+constexpr Duration longestKeepOut = std::chrono::minutes(10);
 constexpr int64_t maxGangTasks = 4096;
 constexpr int64_t preemptionsPerSecond = 20;
 constexpr int64_t maxPreemptionBurst = 20;
@@ -130,7 +134,7 @@
 private:
     struct Timer
     {
-        enum class Kind { Task, Job, GangSize, Hold, Quarantine };
+        enum class Kind { Task, Job, GangSize, Hold, Quarantine, Limits };
         TimePoint at;
         uint64_t sequence = 0;
         Kind kind = Kind::Task;
@@ -188,8 +192,12 @@
     // Section: choice (planner.cpp)
     JobNumber chooseJob(TimePoint now, bool &isBelowGuarantee) const;
     bool startNext(TimePoint now, Decision &decision);
-    bool startOne(JobNumber number, TimePoint now, Decision &decision);
-    std::optional<WorkerNumber> findWorker(const Job &job, Score &score);
+    bool startOne(JobNumber number, const std::vector<int64_t> &limits, TimePoint now,
+                  Decision &decision);
+    bool startKeptOut(TimePoint now, Decision &decision);
+    void updateLimits(TimePoint now);
+    std::optional<WorkerNumber> findWorker(const Job &job, const std::vector<int64_t> &limits,
+                                           Score &score);
     Score scoreOf(const Job &job, const Packing &packing, WorkerNumber worker) const;
     void countReplicas(const Job &job);
     PackingPolicy policyOf(const Job &job) const;
@@ -239,11 +247,15 @@
     std::array<size_t, urgencyClassCount> m_victimCursor = {};
     int64_t m_preemptions = maxPreemptionBurst; // left in the budget
     TimePoint m_preemptionsRefilled = {};
+    std::vector<int64_t> m_limits; // see Queue::findAcceleratorLimits
+    bool m_isLimitTimerSet = false;
+    const std::vector<int64_t> m_noLimits; // empty
     uint64_t m_waiting = 0;
     uint64_t m_timerSequence = 0;
 
     // Reused between decisions to avoid allocations.
     std::vector<WorkerNumber> m_found;
+    std::vector<int64_t> m_newLimits;
     std::vector<std::pair<uint64_t, uint32_t>> m_replicas; // place, rack or worker to replicas
     struct HoldPlace
     {
--- a/src/placement/queue.cpp
+++ b/src/placement/queue.cpp
@@ -87,6 +87,8 @@
     queue.urgency = job.urgency;
     queue.share = team.weightedShare(total);
     team.queues.push_back(number);
+    if (m_sizes[size].queues == 0)
+        noteStart(m_sizes[size].size, job.submitted);
     ++m_sizes[size].queues;
     enter(number);
     return number;
@@ -133,6 +135,7 @@
     const auto urgency = static_cast<size_t>(queue.urgency);
     SizeState &size = m_sizes[queue.size];
     size.ready[urgency].emplace(queue.share, number);
+    countAccelerators(size.size, 1);
     if (size.blockedPosition == noNumber)
         activate(queue.size, urgency);
 }
@@ -142,7 +145,8 @@
     const TeamQueue &queue = m_queues[number];
     const auto urgency = static_cast<size_t>(queue.urgency);
     SizeState &size = m_sizes[queue.size];
-    size.ready[urgency].erase({queue.share, number});
+    if (size.ready[urgency].erase({queue.share, number}) > 0)
+        countAccelerators(size.size, -1);
     if (size.ready[urgency].empty())
         deactivate(queue.size, urgency);
 }
@@ -181,6 +185,21 @@
     return best ? m_queues[best->second].head : noNumber;
 }
 
+JobNumber Queue::nextKeptOut(UrgencyClass urgency) const
+{
+    const auto index = static_cast<size_t>(urgency);
+    const std::pair<double, uint32_t> *best = nullptr;
+    for (const uint32_t size : m_blocked) {
+        const SizeState &state = m_sizes[size];
+        if (!state.isKeptOut || state.ready[index].empty())
+            continue;
+        const auto &first = *state.ready[index].begin();
+        if (!best || first < *best)
+            best = &first;
+    }
+    return best ? m_queues[best->second].head : noNumber;
+}
+
 JobNumber Queue::nextBlocked(UrgencyClass urgency) const
 {
     const auto index = static_cast<size_t>(urgency);
@@ -192,12 +211,55 @@
     return noNumber;
 }
 
+// Section: room for tasks with accelerators
+
+Queue::AcceleratorDemand &Queue::acceleratorDemand(const Size &size)
+{
+    const size_t row = size.place == Fleet::anyPlace ? 0 : size_t(size.place) + 1;
+    if (m_accelerators.size() <= row)
+        m_accelerators.resize(row + 1);
+    const auto count = std::min<int64_t>(size.each.accelerators.value(), acceleratorCounts - 1);
+    return m_accelerators[row][static_cast<size_t>(count)];
+}
+
+void Queue::countAccelerators(const Size &size, int change)
+{
+    // Room for gangs is held on its own.
+    if (size.each.accelerators.value() > 0 && size.gang == 0)
+        acceleratorDemand(size).queues += static_cast<uint32_t>(change);
+}
+
+void Queue::noteStart(const Size &size, TimePoint now)
+{
+    if (size.each.accelerators.value() > 0 && size.gang == 0)
+        acceleratorDemand(size).progress = std::max(acceleratorDemand(size).progress, now);
+}
+
+void Queue::findAcceleratorLimits(size_t places, TimePoint since,
+                                  std::vector<int64_t> &limits) const
+{
+    const auto counts = [&](const AcceleratorDemand &demand) {
+        return demand.queues > 0 && demand.progress >= since;
+    };
+    const auto fewest = [&](size_t row) {
+        if (row >= m_accelerators.size())
+            return noAcceleratorLimit;
+        const auto &demands = m_accelerators[row];
+        const auto first = std::find_if(demands.begin(), demands.end(), counts);
+        return first == demands.end() ? noAcceleratorLimit : first - demands.begin() - 1;
+    };
+    limits.assign(places, fewest(0));
+    for (size_t place = 0; place < places; ++place)
+        limits[place] = std::min(limits[place], fewest(place + 1));
+}
+
 // Section: blocked sizes and parked teams
 
-void Queue::blockSize(JobNumber job)
+void Queue::blockSize(JobNumber job, bool isKeptOut)
 {
     const uint32_t number = m_queues[m_jobs[job].queue].size;
     SizeState &size = m_sizes[number];
+    size.isKeptOut = isKeptOut;
     if (size.blockedPosition != noNumber)
         return;
     size.blockedPosition = static_cast<uint32_t>(m_blocked.size());
@@ -227,6 +289,16 @@
         unblock(entry->second);
 }
 
+void Queue::unblockKeptOut()
+{
+    for (size_t i = 0; i < m_blocked.size();) {
+        if (m_sizes[m_blocked[i]].isKeptOut)
+            unblock(m_blocked[i]);
+        else
+            ++i;
+    }
+}
+
 void Queue::unblockGangs()
 {
     for (size_t i = 0; i < m_blocked.size();) {
--- a/src/placement/queue.h
+++ b/src/placement/queue.h
@@ -59,7 +59,20 @@
     // Returns a job of the class whose size is blocked, noNumber if there is none.
     JobNumber nextBlocked(UrgencyClass urgency) const;
 
-    void blockSize(JobNumber job); // no worker has room for its size
+    // Returns a job of the class whose size is blocked only by the limits on free accelerators.
+    JobNumber nextKeptOut(UrgencyClass urgency) const;
+
+    // Sets the most free accelerators, by place, that a worker may have to take tasks without
+    // accelerators: one less than the smallest waiting demand, so that workers with accelerators
+    // keep room for tasks that need them. A demand of which nothing has started since `since`
+    // counts no more, so that a task that finds no room keeps none closed for ever.
+    void findAcceleratorLimits(size_t places, TimePoint since, std::vector<int64_t> &limits) const;
+    void noteStart(const Size &size, TimePoint now);
+    static constexpr int64_t noAcceleratorLimit = std::numeric_limits<int64_t>::max();
+
+    // No worker has room for its size, or none within the limits on free accelerators.
+    void blockSize(JobNumber job, bool isKeptOut);
+    void unblockKeptOut();
     void unblockSize(const Size &size);
     void unblockGangs();
     void wake(const Resources &free, uint16_t place); // unblocks what fits, gangs excepted
@@ -78,6 +91,7 @@
         Size size = {};
         uint32_t queues = 0;                 // queues with jobs
         uint32_t blockedPosition = noNumber; // in m_blocked
+        bool isKeptOut = false;              // while blocked: by the limits on free accelerators
         std::array<Order, urgencyClassCount> ready = {};
         std::array<uint32_t, urgencyClassCount> activePosition = {noNumber, noNumber, noNumber};
     };
@@ -100,6 +114,13 @@
     void activate(uint32_t size, size_t urgency);
     void deactivate(uint32_t size, size_t urgency);
     void unblock(uint32_t size);
+    struct AcceleratorDemand
+    {
+        uint32_t queues = 0; // that wait for it
+        TimePoint progress;  // last start, or when the first waiting job was submitted
+    };
+    AcceleratorDemand &acceleratorDemand(const Size &size);
+    void countAccelerators(const Size &size, int change);
 
     std::deque<Job> &m_jobs;
     Accounts &m_accounts;
@@ -110,6 +131,10 @@
     std::vector<uint32_t> m_freeQueues;
     std::array<std::vector<uint32_t>, urgencyClassCount> m_active; // unblocked sizes with work
     std::vector<uint32_t> m_blocked;
+    // By place and number of accelerators (the last: that many and more); the first row is for any
+    // place.
+    static constexpr size_t acceleratorCounts = 9;
+    std::vector<std::array<AcceleratorDemand, acceleratorCounts>> m_accelerators;
 };
 
 } // namespace cwl::placement
--- a/src/placement/tasks.cpp
+++ b/src/placement/tasks.cpp
@@ -415,6 +415,10 @@
         m_queue.unblockGangs();
         return;
     }
+    if (timer.kind == Timer::Kind::Limits) {
+        m_isLimitTimerSet = false; // the next decision finds the limits anew
+        return;
+    }
     if (timer.kind == Timer::Kind::Quarantine) {
         m_fleet.endQuarantine(timer.number, now);
         wakeWorker(timer.number);
--- a/tests/placement/fleet_test.cpp
+++ b/tests/placement/fleet_test.cpp
@@ -105,10 +105,10 @@
         const WorkerNumber worker =
                 fleet.put({WorkerId("w"), DataCentreId("dc"), RackId("r"), sized(4000, 4000, 0)});
         std::vector<WorkerNumber> found;
-        fleet.collect({.demand = sized(1, 1, 0)}, Fleet::anyPlace, found);
+        fleet.collect({.demand = sized(1, 1, 0)}, Fleet::anyPlace, {}, found);
         CPPUNIT_ASSERT(found.empty());
         fleet.setReported(worker, true);
-        fleet.collect({.demand = sized(1, 1, 0)}, Fleet::anyPlace, found);
+        fleet.collect({.demand = sized(1, 1, 0)}, Fleet::anyPlace, {}, found);
         CPPUNIT_ASSERT_EQUAL(size_t(1), found.size());
     }
 
--- a/tests/placement/planner_test.cpp
+++ b/tests/placement/planner_test.cpp
@@ -23,6 +23,8 @@
     CPPUNIT_TEST(waitingTasksAreBounded);
     CPPUNIT_TEST(replicasSpreadOverDataCentresAndRacks);
     CPPUNIT_TEST(plainWorkStaysOffAcceleratorsWhileOthersHaveRoom);
+    CPPUNIT_TEST(plainWorkLeavesRoomForWaitingAcceleratorTasks);
+    CPPUNIT_TEST(acceleratorTaskWithoutRoomKeepsNoWorkerClosedForEver);
     CPPUNIT_TEST(teamsShareByWeight);
     CPPUNIT_TEST(backfillDoesNotDelayAWaitingGang);
     CPPUNIT_TEST(failedGangTaskRestartsTheWholeGang);
@@ -118,6 +120,49 @@
         CPPUNIT_ASSERT_EQUAL(gpu, harness.decideAll().at(0).worker);
     }
 
+    // Guards against plain work that takes the processors beside free accelerators again and again,
+    // so that the tasks that need both run last and alone.
+    void plainWorkLeavesRoomForWaitingAcceleratorTasks()
+    {
+        Harness harness;
+        harness.addTeam("a", ampleQuota);
+        harness.addWorker("plain", sized(4000, 8192));
+        const WorkerNumber gpu = harness.addWorker("gpu", sized(8000, 8192, 4));
+        CPPUNIT_ASSERT(submit(harness, "fill", 12, sized(1000, 512)).ok());
+        const std::vector<Assignment> filling = harness.decideAll();
+        CPPUNIT_ASSERT_EQUAL(size_t(12), filling.size());
+        CPPUNIT_ASSERT(submit(harness, "wide", 1, sized(8000, 8192, 4)).ok());
+        CPPUNIT_ASSERT(submit(harness, "more", 8, sized(1000, 512)).ok());
+        for (const Assignment &task : filling) {
+            if (task.worker != gpu)
+                continue;
+            harness.end(task.task, Outcome::Succeeded);
+            harness.decideAll();
+        }
+        CPPUNIT_ASSERT_EQUAL(size_t(1), harness.runningOf("wide"));
+        CPPUNIT_ASSERT_EQUAL(size_t(0), harness.runningOf("more"));
+    }
+
+    // Guards against idle room that a task without a place for itself keeps closed.
+    void acceleratorTaskWithoutRoomKeepsNoWorkerClosedForEver()
+    {
+        Harness harness;
+        harness.addTeam("a", ampleQuota);
+        harness.addWorker("plain", sized(4000, 8192));
+        const WorkerNumber gpu = harness.addWorker("gpu", sized(8000, 8192, 4));
+        JobSpec staying = harness.job("staying", "a", 1, sized(5000, 512));
+        staying.kind = JobKind::Service;
+        CPPUNIT_ASSERT(harness.planner.submit(staying, harness.now).ok());
+        CPPUNIT_ASSERT(submit(harness, "fill", 4, sized(1000, 512)).ok());
+        CPPUNIT_ASSERT_EQUAL(size_t(5), harness.decideAll().size());
+        CPPUNIT_ASSERT(submit(harness, "wide", 1, sized(8000, 8192, 4)).ok());
+        CPPUNIT_ASSERT(submit(harness, "more", 1, sized(1000, 512)).ok());
+        CPPUNIT_ASSERT_EQUAL(size_t(0), harness.decideAll().size());
+        harness.now += longestKeepOut + seconds(1);
+        CPPUNIT_ASSERT(harness.planner.nextWake().value() < harness.now);
+        CPPUNIT_ASSERT_EQUAL(gpu, harness.decideAll().at(0).worker);
+    }
+
     // Guards against one team that takes what another is due.
     void teamsShareByWeight()
     {
