--- a/src/placement/queue.cpp
+++ b/src/placement/queue.cpp
@@ -3,9 +3,18 @@
 #include "placement/fleet.h"
 
 #include <algorithm>
+#include <bit>
 
 namespace cwl::placement {
 
+namespace {
+
+// Declared run times below this count as the same. With eight levels a job overtakes others of its
+// team and class that were submitted at most 17 minutes earlier.
+constexpr Duration shortestRun = seconds(16);
+
+} // namespace
+
 size_t SizeHash::operator()(const Size &size) const noexcept
 {
     uint64_t hash = 1469598103934665603ull;
@@ -31,18 +40,19 @@
     if (job.queue != noNumber)
         return;
     const uint32_t queueNumber = findOrAddQueue(job, total);
-    TeamQueue &queue = m_queues[queueNumber];
+    RunList &run = m_queues[queueNumber].runs[runLevel(job)];
     job.queue = queueNumber;
-    job.previous = isFirst ? noNumber : queue.tail;
-    job.next = isFirst ? queue.head : noNumber;
+    job.previous = isFirst ? noNumber : run.tail;
+    job.next = isFirst ? run.head : noNumber;
     if (job.previous != noNumber)
         m_jobs[job.previous].next = number;
     else
-        queue.head = number;
+        run.head = number;
     if (job.next != noNumber)
         m_jobs[job.next].previous = number;
     else
-        queue.tail = number;
+        run.tail = number;
+    updateRank(queueNumber);
 }
 
 void Queue::remove(JobNumber number)
@@ -50,19 +60,68 @@
     Job &job = m_jobs[number];
     if (job.queue == noNumber)
         return;
-    TeamQueue &queue = m_queues[job.queue];
+    RunList &run = m_queues[job.queue].runs[runLevel(job)];
     if (job.previous != noNumber)
         m_jobs[job.previous].next = job.next;
     else
-        queue.head = job.next;
+        run.head = job.next;
     if (job.next != noNumber)
         m_jobs[job.next].previous = job.previous;
     else
-        queue.tail = job.previous;
+        run.tail = job.previous;
     const uint32_t queueNumber = job.queue;
     job.queue = job.previous = job.next = noNumber;
-    if (queue.head == noNumber)
+    TimePoint at;
+    if (firstOf(m_queues[queueNumber], at) == noNumber)
         removeQueue(queueNumber);
+    else
+        updateRank(queueNumber);
+}
+
+size_t Queue::runLevel(const Job &job)
+{
+    // Urgent jobs keep the order of arrival: longest first gained no packing there (10 seeds).
+    if (job.urgency == UrgencyClass::Urgent || job.kind != JobKind::Batch)
+        return 0;
+    const auto units = static_cast<uint64_t>(job.run / shortestRun);
+    return std::min<size_t>(static_cast<size_t>(std::bit_width(units)), runLevels - 1);
+}
+
+JobNumber Queue::firstOf(const Rank &rank) const
+{
+    TimePoint at;
+    return firstOf(m_queues[rank.queue], at);
+}
+
+void Queue::updateRank(uint32_t number)
+{
+    TeamQueue &queue = m_queues[number];
+    TimePoint at;
+    firstOf(queue, at);
+    if (at == queue.rank.at)
+        return;
+    if (!queue.isParked)
+        leave(number);
+    queue.rank.at = at;
+    if (!queue.isParked)
+        enter(number);
+}
+
+JobNumber Queue::firstOf(const TeamQueue &queue, TimePoint &bestAt) const
+{
+    JobNumber best = noNumber;
+    for (size_t level = 0; level < runLevels; ++level) {
+        const JobNumber head = queue.runs[level].head;
+        if (head == noNumber)
+            continue;
+        const Duration advance = level == 0 ? Duration() : shortestRun * (1 << (level - 1));
+        const TimePoint at = m_jobs[head].submitted - advance;
+        if (best == noNumber || at < bestAt) {
+            best = head;
+            bestAt = at;
+        }
+    }
+    return best;
 }
 
 uint32_t Queue::findOrAddQueue(const Job &job, const Resources &total)
@@ -85,8 +144,12 @@
     queue.size = size;
     queue.team = job.team;
     queue.urgency = job.urgency;
-    queue.share = team.weightedShare(total);
+    queue.rank = {.share = team.weightedShare(total),
+                  .accelerators = -job.each.accelerators.value(),
+                  .queue = number};
     team.queues.push_back(number);
+    if (m_sizes[size].queues == 0)
+        noteStart(m_sizes[size].size, job.submitted);
     ++m_sizes[size].queues;
     enter(number);
     return number;
@@ -132,7 +195,8 @@
     const TeamQueue &queue = m_queues[number];
     const auto urgency = static_cast<size_t>(queue.urgency);
     SizeState &size = m_sizes[queue.size];
-    size.ready[urgency].emplace(queue.share, number);
+    size.ready[urgency].insert(queue.rank);
+    countAccelerators(size.size, 1);
     if (size.blockedPosition == noNumber)
         activate(queue.size, urgency);
 }
@@ -142,7 +206,8 @@
     const TeamQueue &queue = m_queues[number];
     const auto urgency = static_cast<size_t>(queue.urgency);
     SizeState &size = m_sizes[queue.size];
-    size.ready[urgency].erase({queue.share, number});
+    if (size.ready[urgency].erase(queue.rank) > 0)
+        countAccelerators(size.size, -1);
     if (size.ready[urgency].empty())
         deactivate(queue.size, urgency);
 }
@@ -172,13 +237,28 @@
 JobNumber Queue::next(UrgencyClass urgency) const
 {
     const auto index = static_cast<size_t>(urgency);
-    const std::pair<double, uint32_t> *best = nullptr;
+    const Rank *best = nullptr;
     for (const uint32_t size : m_active[index]) {
         const auto &first = *m_sizes[size].ready[index].begin();
         if (!best || first < *best)
             best = &first;
     }
-    return best ? m_queues[best->second].head : noNumber;
+    return best ? firstOf(*best) : noNumber;
+}
+
+JobNumber Queue::nextKeptOut(UrgencyClass urgency) const
+{
+    const auto index = static_cast<size_t>(urgency);
+    const Rank *best = nullptr;
+    for (const uint32_t size : m_blocked) {
+        const SizeState &state = m_sizes[size];
+        if (!state.isKeptOut || state.ready[index].empty())
+            continue;
+        const auto &first = *state.ready[index].begin();
+        if (!best || first < *best)
+            best = &first;
+    }
+    return best ? firstOf(*best) : noNumber;
 }
 
 JobNumber Queue::nextBlocked(UrgencyClass urgency) const
@@ -187,17 +267,60 @@
     for (const uint32_t size : m_blocked) {
         const SizeState &state = m_sizes[size];
         if (!state.ready[index].empty() && state.size.gang == 0)
-            return m_queues[state.ready[index].begin()->second].head;
+            return firstOf(*state.ready[index].begin());
     }
     return noNumber;
 }
 
+// Section: room for tasks with accelerators
+
+Queue::AcceleratorDemand &Queue::acceleratorDemand(const Size &size)
+{
+    const size_t row = size.place == Fleet::anyPlace ? 0 : size_t(size.place) + 1;
+    if (m_accelerators.size() <= row)
+        m_accelerators.resize(row + 1);
+    const auto count = std::min<int64_t>(size.each.accelerators.value(), acceleratorCounts - 1);
+    return m_accelerators[row][static_cast<size_t>(count)];
+}
+
+void Queue::countAccelerators(const Size &size, int change)
+{
+    // Room for gangs is held on its own.
+    if (size.each.accelerators.value() > 0 && size.gang == 0)
+        acceleratorDemand(size).queues += static_cast<uint32_t>(change);
+}
+
+void Queue::noteStart(const Size &size, TimePoint now)
+{
+    if (size.each.accelerators.value() > 0 && size.gang == 0)
+        acceleratorDemand(size).progress = std::max(acceleratorDemand(size).progress, now);
+}
+
+void Queue::findAcceleratorLimits(size_t places, TimePoint since,
+                                  std::vector<int64_t> &limits) const
+{
+    const auto counts = [&](const AcceleratorDemand &demand) {
+        return demand.queues > 0 && demand.progress >= since;
+    };
+    const auto fewest = [&](size_t row) {
+        if (row >= m_accelerators.size())
+            return noAcceleratorLimit;
+        const auto &demands = m_accelerators[row];
+        const auto first = std::find_if(demands.begin(), demands.end(), counts);
+        return first == demands.end() ? noAcceleratorLimit : first - demands.begin() - 1;
+    };
+    limits.assign(places, fewest(0));
+    for (size_t place = 0; place < places; ++place)
+        limits[place] = std::min(limits[place], fewest(place + 1));
+}
+
 // Section: blocked sizes and parked teams
 
-void Queue::blockSize(JobNumber job)
+void Queue::blockSize(JobNumber job, bool isKeptOut)
 {
     const uint32_t number = m_queues[m_jobs[job].queue].size;
     SizeState &size = m_sizes[number];
+    size.isKeptOut = isKeptOut;
     if (size.blockedPosition != noNumber)
         return;
     size.blockedPosition = static_cast<uint32_t>(m_blocked.size());
@@ -227,6 +350,16 @@
         unblock(entry->second);
 }
 
+void Queue::unblockKeptOut()
+{
+    for (size_t i = 0; i < m_blocked.size();) {
+        if (m_sizes[m_blocked[i]].isKeptOut)
+            unblock(m_blocked[i]);
+        else
+            ++i;
+    }
+}
+
 void Queue::unblockGangs()
 {
     for (size_t i = 0; i < m_blocked.size();) {
@@ -263,7 +396,7 @@
     const double share = team.weightedShare(total);
     for (const uint32_t queueNumber : team.queues) {
         TeamQueue &queue = m_queues[queueNumber];
-        if (!queue.isParked && queue.share == share)
+        if (!queue.isParked && queue.rank.share == share)
             continue;
         // A parked queue stays so while one more task would still pass the quota.
         const Size &size = m_sizes[queue.size].size;
@@ -275,7 +408,7 @@
             leave(queueNumber);
         }
         queue.isParked = false;
-        queue.share = share;
+        queue.rank.share = share;
         enter(queueNumber);
     }
 }
