Test requests under failures with real processes

Cause: at most once, truthful outcomes and leaving endpoints were tested only within one process or with a single killed entry. Ruled out: judging by the product's counters; only the stand-ins' records and the callers' answers count.

--- /dev/null
+++ b/tests/integration/requeststore_test.cpp
@@ -0,0 +1,126 @@
+// Requests while the platform's store is down, slow, loses answers or cannot be reached by one
+// entry.
+
+#include "integration/asserts.h"
+#include "testseed.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using namespace cwl;
+using namespace cwl::integration;
+
+// Keeps a failure up for this long while requests go on.
+void keepFor(Duration length, const Cell &cell, const Callers &callers)
+{
+    const TimePoint end = BootClock::now() + length;
+    while (BootClock::now() < end)
+        assertServes(cell, callers, 20);
+}
+
+class RequestStoreTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RequestStoreTest);
+    CPPUNIT_TEST(outageOfTheStoreDisturbsNoRequest);
+    CPPUNIT_TEST(lostAnswersAndSlowStoreDisturbNoRequest);
+    CPPUNIT_TEST(entryCutOffFromTheStoreGoesOn);
+    CPPUNIT_TEST(entryKilledInAnOutageCausesNoSecondRun);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against owners that stop, or lose their groups, because they cannot renew.
+    void outageOfTheStoreDisturbsNoRequest()
+    {
+        Cell cell({});
+        Callers callers(cell.entryAddresses(), {.seed = tests::testSeed()});
+        assertServes(cell, callers, 50);
+        cell.platform("outage", true);
+        keepFor(seconds(20), cell, callers);
+        cell.platform("outage", false);
+        assertServes(cell, callers, 100);
+        assertUndisturbed(cell, callers);
+    }
+
+    // Guards against a renewal whose answer is lost or late being taken for a failed one, or for a
+    // successful one that it was not.
+    void lostAnswersAndSlowStoreDisturbNoRequest()
+    {
+        Cell cell({});
+        Callers callers(cell.entryAddresses(), {.seed = tests::testSeed()});
+        cell.platform("loseAnswers", true);
+        keepFor(seconds(6), cell, callers);
+        cell.platform("delayMs", 800);
+        keepFor(seconds(6), cell, callers);
+        cell.platform("loseAnswers", false);
+        cell.platform("answerDelayMs", 3500); // later than a lease
+        keepFor(seconds(6), cell, callers);
+        cell.platform("answerDelayMs", 0);
+        cell.platform("delayMs", 0);
+        assertServes(cell, callers, 100);
+        assertUndisturbed(cell, callers);
+    }
+
+    // Guards against an owner that loses its groups though its peers can renew for it, and against
+    // harm when the store hangs instead of refusing.
+    void entryCutOffFromTheStoreGoesOn()
+    {
+        Cell cell({});
+        Callers callers(cell.entryAddresses(), {.seed = tests::testSeed()});
+        assertServes(cell, callers, 50);
+        cell.link("platform/entry-0", "cut", "both");
+        keepFor(seconds(7), cell, callers);
+        cell.platform("silent", true);
+        keepFor(seconds(7), cell, callers);
+        cell.platform("silent", false);
+        cell.link("platform/entry-0", "cut", "none");
+        assertServes(cell, callers, 100);
+        assertUndisturbed(cell, callers);
+    }
+
+    // Guards against a second run, or a false "not-run", when an owner dies while the store is down
+    // and its groups have no owner until the store returns.
+    void entryKilledInAnOutageCausesNoSecondRun()
+    {
+        Cell cell({.serviceMs = 100});
+        Callers callers(cell.entryAddresses(), {.threads = 12, .seed = tests::testSeed()});
+        assertServes(cell, callers, 50);
+        harness::Member &owner = cell.ownerOf("endpoint/draw/0");
+        cell.platform("outage", true);
+        cell.kill(owner);
+        assertTries(cell, callers, 100);
+        cell.start(owner);
+        assertTries(cell, callers, 100);
+        cell.platform("outage", false);
+        assertReady(cell, owner);
+        CPPUNIT_ASSERT_MESSAGE(cell.logs(), cell.waitUntilOwned("endpoint/", 4));
+        assertServes(cell, callers, 100);
+        assertKept(cell, callers);
+    }
+
+private:
+    static void assertTries(const Cell &cell, const Callers &callers, size_t more)
+    {
+        const size_t target = callers.records().size() + more;
+        const bool areTried = harness::waitUntil(
+                harness::patience(), [&] { return callers.records().size() >= target; });
+        CPPUNIT_ASSERT_MESSAGE(callers.summary() + cell.logs(), areTried);
+    }
+
+    // No member fails in these tests, so no outcome is unknown and each request is answered. The
+    // first tries may meet a hand-over between members that have just started: its refusals are
+    // true, and a repeat is answered.
+    static void assertUndisturbed(const Cell &cell, Callers &callers)
+    {
+        assertKept(cell, callers);
+        const std::vector<RequestRecord> records = callers.records();
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(callers.summary() + cell.logs(), records.size(),
+                                     countOutcome(records, "answered"));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(callers.summary() + cell.logs(), size_t(0),
+                                     countOutcome(records, "unknown"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestStoreTest);
+
+} // namespace
