--- a/tests/integration/cell.cpp
+++ b/tests/integration/cell.cpp
@@ -1,6 +1,7 @@
 #include "integration/cell.h"
 
 #include "base/json.h"
+#include "ownership/assignment.h"
 
 #include <algorithm>
 #include <fstream>
@@ -169,6 +170,8 @@
     if (m_options.schedulers
         && !(waitUntilOwned("worker/", 1) && waitUntilWitnessed("scheduler", members)))
         throw std::runtime_error("the schedulers did not settle\n" + logs());
+    if (m_options.settleAssignment && !waitUntilAssigned("endpoint/", "entry"))
+        throw std::runtime_error("the groups were not assigned\n" + logs());
 }
 
 std::vector<std::string> Cell::entryAddresses()
@@ -296,6 +299,22 @@
     });
 }
 
+bool Cell::waitUntilAssigned(const std::string &prefix, const std::string &role)
+{
+    return harness::waitUntil(patience(), [&] {
+        std::vector<MemberId> members;
+        for (const Json::Value &row : rows("members", "")) {
+            if (row["value"]["role"] == role)
+                members.emplace_back(row["key"].asString());
+        }
+        const auto groups = rows("groups", prefix);
+        return std::all_of(groups.begin(), groups.end(), [&](const Json::Value &row) {
+            const auto first = ownership::rankedFirst(members, GroupId(row["key"].asString()));
+            return first && first->value() == row["value"]["owner"].asString();
+        });
+    });
+}
+
 std::string Cell::ownerAddress(const std::string &group) const
 {
     for (const Json::Value &row : rows("groups", group)) {
--- a/tests/integration/cell.h
+++ b/tests/integration/cell.h
@@ -18,6 +18,9 @@
 
 struct CellOptions
 {
+    // Wait too until each group is owned by the member that ranks first, which takes a hand-over
+    // of 10 s: for tests in which no group may change its owner.
+    bool settleAssignment = false;
     size_t instances = 3;
     bool entries = true;
     bool schedulers = false;
@@ -78,6 +81,7 @@
     bool waitUntilWitnessed(const std::string &role, size_t members);
     // The member owns nothing: others have claimed all groups of the role.
     bool waitUntilOwnsNothing(const harness::Member &member, const std::string &prefix);
+    bool waitUntilAssigned(const std::string &prefix, const std::string &role);
     std::string ownerAddress(const std::string &group) const; // RPC address, or empty
     harness::Member &ownerOf(const std::string &group);       // throws if there is none
 
--- a/tests/integration/requestowners_test.cpp
+++ b/tests/integration/requestowners_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(pausedOwnerSendsNothingAfterItsLease);
     CPPUNIT_TEST(stopThatIsAskedForTwiceCutsNothing);
     CPPUNIT_TEST(racingClaimsLeaveOneOwner);
+    CPPUNIT_TEST(silentConnectionsBetweenMembersAreReplaced);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -116,6 +117,26 @@
         assertServes(cell, callers, 100);
         assertKept(cell, callers);
     }
+
+    // Guards against forwarded requests, promises and votes that wait on connections which will
+    // never carry anything again, and against answers that reach another request when calls
+    // between members are late.
+    void silentConnectionsBetweenMembersAreReplaced()
+    {
+        Cell cell({.proxyRpc = true});
+        Callers callers(cell.entryAddresses(), {.threads = 12, .seed = tests::testSeed()});
+        for (int round = 0; round < 2; ++round) {
+            assertServes(cell, callers, 100);
+            for (int i = 0; i < 3; ++i) {
+                const std::string link = "rpc/entry-" + std::to_string(i);
+                cell.link(link, "delayMs", 15 * i);
+                cell.link(link, "silenceOpen", true);
+            }
+        }
+        assertServes(cell, callers, 300);
+        assertKept(cell, callers);
+        CPPUNIT_ASSERT_EQUAL(size_t(0), countOutcome(callers.records(), "lost"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RequestOwnersTest);
