Print each class's demand beside what it keeps in a flood

Ruled out: a fault of the planner. The deferred class of this load asks for a dominant share of 0.17 to 0.19 and is guaranteed 0.10. Urgent asks for 0.16 to 0.19 of 0.40, normal for 0.22 to 0.27 of 0.30: both within.

Change: flood.demand_share.CLASS, and flood.kept_of_guarantee.CLASS, which divides by the part of the demand that the guaranteed share covers.

--- a/bench/placement/waits.cpp
+++ b/bench/placement/waits.cpp
@@ -176,6 +176,31 @@
                      [](const Arrival &one, const Arrival &other) { return one.at < other.at; });
 }
 
+// Dominant share of the fleet that each class asks for during the window.
+std::array<double, 3> demandShares(const std::vector<Arrival> &arrivals,
+                                   const std::vector<WorkerSpec> &fleet, const Window &window)
+{
+    std::array<std::array<double, 3>, 3> work = {};
+    std::array<double, 3> capacity = {};
+    for (const Arrival &arrival : arrivals) {
+        if (arrival.at < window.from || arrival.at >= window.to)
+            continue;
+        for (size_t i = 0; i < 3; ++i)
+            work[static_cast<size_t>(arrival.spec.urgency)][i] +=
+                    amounts(arrival.spec.each)[i] * arrival.run * arrival.spec.count;
+    }
+    for (const WorkerSpec &worker : fleet) {
+        for (size_t i = 0; i < 3; ++i)
+            capacity[i] += amounts(worker.capacity)[i] * (window.to - window.from);
+    }
+    std::array<double, 3> shares = {};
+    for (size_t urgency = 0; urgency < 3; ++urgency) {
+        for (size_t i = 0; i < 3; ++i)
+            shares[urgency] = std::max(shares[urgency], work[urgency][i] / capacity[i]);
+    }
+    return shares;
+}
+
 using MakeScheduler = std::unique_ptr<Scheduler> (*)(const std::vector<WorkerSpec> &);
 
 void compareFloods(const std::string &suffix, MakeScheduler make, uint64_t seed)
@@ -184,6 +209,9 @@
     const Window window{floodAt, floodAt + measured};
     const char *cases[] = {"no_flood", "flood_deferred", "flood_urgent"};
     double usual[3] = {};
+    const std::array<double, 3> demand = demandShares(usualArrivals(seed, fleet), fleet, window);
+    for (size_t urgency = 0; urgency < 3 && suffix.empty(); ++urgency)
+        print(std::string("flood.demand_share.") + classNames[urgency], demand[urgency], "ratio");
     for (int number = 0; number < 3; ++number) {
         std::vector<Arrival> arrivals = usualArrivals(seed, fleet);
         if (number > 0)
@@ -197,11 +225,17 @@
             print(wait + ".p50" + tail, percentile(result.waits[urgency], 0.5), "s");
             print(wait + ".p99" + tail, percentile(result.waits[urgency], 0.99), "s");
             work += result.coreSeconds[urgency];
-            if (number == 0)
+            if (number == 0) {
                 usual[urgency] = result.coreSeconds[urgency];
-            else
-                print(std::string("flood.kept.") + classNames[urgency] + tail,
-                      result.coreSeconds[urgency] / usual[urgency], "ratio");
+                continue;
+            }
+            const double kept = result.coreSeconds[urgency] / usual[urgency];
+            print(std::string("flood.kept.") + classNames[urgency] + tail, kept, "ratio");
+            // Of the demand up to the guaranteed share; more is not promised in a flood.
+            const double guarantee =
+                    static_cast<double>(Options().classShares[urgency]) / 100 / demand[urgency];
+            print(std::string("flood.kept_of_guarantee.") + classNames[urgency] + tail,
+                  kept / std::min(1.0, guarantee), "ratio");
         }
         if (number > 0) {
             print("flood.idle_share" + tail, 1 - work / result.capacityCoreSeconds, "ratio");
