--- a/src/placement/preemption.cpp
+++ b/src/placement/preemption.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr size_t maxVictimsExamined = 512; // tasks looked at for one preemption
+constexpr size_t maxVictimsExamined = 64; // tasks looked at for one preemption
 
 } // namespace
 
