Try a call to a group's owner again until the operator's deadline

Cause: a call to the owner of a worker group was tried once. While the owner was dead and not yet replaced, it failed with connection_refused or no_owner, although the call is idempotent. A new owner that had not read the jobs yet answered unknown_job to job.show and job.explain. Ruled out: longer deadlines of one try. The address itself is out of date, so each try has to look up the owner. Failures that are repeated: connection_refused, connection_lost, timeout, no_owner, not_owner, not_ready, lease_lapsed, shutting_down. The last answer is no_owner with retryAfterMs, or connection_lost with retryAfterMs if an owner may have acted on a try. An owner that has not read the jobs answers not_ready.

--- a/src/scheduler/groupowner.cpp
+++ b/src/scheduler/groupowner.cpp
@@ -243,6 +243,17 @@
 {
     if (m_isLoaded && m_hasWorkers && m_settings)
         return absl::OkStatus();
+    return stillLoading();
+}
+
+// A job is unknown only once the jobs of the earlier owner have been read.
+absl::Status GroupOwner::checkJobsLoaded() const
+{
+    return m_isLoaded ? absl::OkStatus() : stillLoading();
+}
+
+absl::Status GroupOwner::stillLoading() const
+{
     return makeError(Failure::NotReady,
                      absl::StrCat("the owner of ", m_group.value(), " is still loading"),
                      {.retryAfterMs = 500});
@@ -383,6 +394,8 @@
 
 absl::StatusOr<Json::Value> GroupOwner::show(const JobId &id) const
 {
+    if (const absl::Status status = checkJobsLoaded(); !status.ok())
+        return status;
     const auto found = m_jobs.find(id);
     if (found == m_jobs.end())
         return makeError(Failure::UnknownJob, absl::StrCat("job \"", id.value(), "\" is unknown"),
@@ -392,6 +405,8 @@
 
 absl::StatusOr<Json::Value> GroupOwner::explain(const JobId &id) const
 {
+    if (const absl::Status status = checkJobsLoaded(); !status.ok())
+        return status;
     const auto found = m_jobs.find(id);
     if (found == m_jobs.end())
         return makeError(Failure::UnknownJob, absl::StrCat("job \"", id.value(), "\" is unknown"),
@@ -399,8 +414,10 @@
     return explainJob(found->second.record, m_planner, BootClock::now());
 }
 
-Json::Value GroupOwner::list() const
+absl::StatusOr<Json::Value> GroupOwner::list() const
 {
+    if (const absl::Status status = checkJobsLoaded(); !status.ok())
+        return status;
     Json::Value jobs(Json::arrayValue);
     for (const auto &[id, job] : m_jobs) {
         if (jobs.size() == maxListedJobs)
--- a/src/scheduler/groupowner.h
+++ b/src/scheduler/groupowner.h
@@ -64,7 +64,7 @@
     void cancel(const JobId &job, JsonCallback callback);
     absl::StatusOr<Json::Value> show(const JobId &job) const;
     absl::StatusOr<Json::Value> explain(const JobId &job) const;
-    Json::Value list() const;
+    absl::StatusOr<Json::Value> list() const;
 
     // Section: workers
 
@@ -129,7 +129,9 @@
     void answerSubmit(JobEntry &job, bool isNew, JsonCallback callback);
     void undoSubmit(const JobId &job);
     bool isValid() const;
-    absl::Status checkLoaded() const;
+    absl::Status checkLoaded() const; // the jobs, the workers and the settings
+    absl::Status checkJobsLoaded() const;
+    absl::Status stillLoading() const;
 
     // groupworkers.cpp
     void addWorker(const platform::Instance &instance);
--- a/src/scheduler/groups.cpp
+++ b/src/scheduler/groups.cpp
@@ -18,13 +18,20 @@
 
 constexpr auto instancesInterval = std::chrono::milliseconds(1000);
 constexpr Duration instancesDeadline = seconds(3);
-constexpr Duration callDeadline = seconds(5);
+constexpr Duration callDeadline = seconds(5); // of one try
+// An operator waits 10 s; the rest is for the way of the answer.
+constexpr Duration operatorsPatience = milliseconds(9500);
 constexpr const char *submitMethod = "job.submit";
 constexpr const char *cancelMethod = "job.cancel";
 constexpr const char *showMethod = "job.show";
 constexpr const char *listMethod = "job.list";
 constexpr const char *explainMethod = "job.explain";
 
+TimePoint operatorsDeadline()
+{
+    return BootClock::now() + operatorsPatience;
+}
+
 Json::Value jobParameters(const JobId &job)
 {
     Json::Value parameters;
@@ -149,25 +156,51 @@
         callback(owner.list());
 }
 
-void Groups::callOwner(const std::string &method, const GroupId &group,
-                       const Json::Value &parameters, Callback callback)
+// The operator's calls are idempotent, so a try of unknown outcome is repeated as well.
+void Groups::callOwner(const std::shared_ptr<OwnerCall> &call)
+{
+    callOwnerOnce(*call, [this, call](absl::StatusOr<Json::Value> answer) {
+        if (answer.ok() || !OwnerRetry::isRepeated(answer.status())) {
+            call->callback(std::move(answer));
+            return;
+        }
+        const auto next = call->retry.nextTry(answer.status(), BootClock::now());
+        if (next)
+            callOwnerLater(call, *next);
+        else
+            call->callback(call->retry.finalError(call->group));
+    });
+}
+
+void Groups::callOwnerLater(const std::shared_ptr<OwnerCall> &call, TimePoint at)
 {
-    if (m_owners.count(group) > 0 && m_ports.member()->owns(group)) {
-        serve(method, group, parameters, std::move(callback));
+    const auto timer = std::make_shared<asio::steady_timer>(m_ports.control, at - BootClock::now());
+    timer->async_wait([this, call, timer](const boost::system::error_code &error) {
+        if (!error)
+            callOwner(call);
+    });
+}
+
+void Groups::callOwnerOnce(const OwnerCall &call, Callback callback)
+{
+    const ownership::Member &member = *m_ports.member();
+    if (m_owners.count(call.group) > 0 && member.owns(call.group)) {
+        serve(call.method, call.group, call.parameters, std::move(callback));
         return;
     }
-    const auto owner = m_ports.member()->ownerOf(group);
-    if (!owner || owner->id == m_ports.member()->self().id) {
+    const auto owner = member.ownerOf(call.group);
+    if (!owner || owner->id == member.self().id) {
         callback(makeError(Failure::NoOwner,
-                           absl::StrCat(group.value(), " has no owner at the moment"),
+                           absl::StrCat(call.group.value(), " has no owner at the moment"),
                            {.retryAfterMs = 1000}));
         return;
     }
     rpc::Message message;
-    message.content["group"] = group.value();
-    message.content["parameters"] = parameters;
+    message.content["group"] = call.group.value();
+    message.content["parameters"] = call.parameters;
     m_ports.rpcClient.call(
-            owner->rpcAddress, method, std::move(message), BootClock::now() + callDeadline,
+            owner->rpcAddress, call.method, std::move(message),
+            std::min(BootClock::now() + callDeadline, call.retry.deadline()),
             [this, callback = std::move(callback)](absl::StatusOr<rpc::Message> answer) {
                 asio::post(m_ports.control, [callback, answer = std::move(answer)] {
                     if (answer.ok())
@@ -179,23 +212,24 @@
 }
 
 void Groups::callUntilKnown(const std::string &method, const Json::Value &parameters, size_t next,
-                            Callback callback)
+                            TimePoint deadline, Callback callback)
 {
     if (next >= m_groups.size()) {
         callback(makeError(Failure::UnknownJob, "no worker group knows the job",
                            {.field = "jobId"}));
         return;
     }
-    callOwner(method, m_groups[next], parameters,
-              [this, method, parameters, next,
-               callback = std::move(callback)](absl::StatusOr<Json::Value> answer) {
-                  const bool isElsewhere = failureOf(answer.status()) == Failure::UnknownJob
-                          && next + 1 < m_groups.size();
-                  if (isElsewhere)
-                      callUntilKnown(method, parameters, next + 1, callback);
-                  else
-                      callback(std::move(answer));
-              });
+    const auto answered = [this, method, parameters, next, deadline,
+                           callback = std::move(callback)](absl::StatusOr<Json::Value> answer) {
+        const bool isElsewhere =
+                failureOf(answer.status()) == Failure::UnknownJob && next + 1 < m_groups.size();
+        if (isElsewhere)
+            callUntilKnown(method, parameters, next + 1, deadline, callback);
+        else
+            callback(std::move(answer));
+    };
+    callOwner(std::make_shared<OwnerCall>(
+            OwnerCall{method, m_groups[next], parameters, OwnerRetry(deadline), answered}));
 }
 
 absl::StatusOr<GroupId> Groups::groupForJob(const Json::Value &body) const
@@ -220,32 +254,33 @@
 {
     const auto group = groupForJob(body);
     if (group.ok())
-        callOwner(submitMethod, *group, body, std::move(callback));
+        callOwner(std::make_shared<OwnerCall>(OwnerCall{
+                submitMethod, *group, body, OwnerRetry(operatorsDeadline()), std::move(callback)}));
     else
         callback(group.status());
 }
 
 void Groups::cancel(const JobId &job, Callback callback)
 {
-    callUntilKnown(cancelMethod, jobParameters(job), 0, std::move(callback));
+    callUntilKnown(cancelMethod, jobParameters(job), 0, operatorsDeadline(), std::move(callback));
 }
 
 void Groups::show(const JobId &job, Callback callback)
 {
-    callUntilKnown(showMethod, jobParameters(job), 0, std::move(callback));
+    callUntilKnown(showMethod, jobParameters(job), 0, operatorsDeadline(), std::move(callback));
 }
 
 void Groups::explain(const JobId &job, Callback callback)
 {
-    callUntilKnown(explainMethod, jobParameters(job), 0, std::move(callback));
+    callUntilKnown(explainMethod, jobParameters(job), 0, operatorsDeadline(), std::move(callback));
 }
 
 void Groups::list(Callback callback)
 {
-    listFrom(0, Json::Value(Json::arrayValue), std::move(callback));
+    listFrom(0, Json::Value(Json::arrayValue), operatorsDeadline(), std::move(callback));
 }
 
-void Groups::listFrom(size_t next, Json::Value jobs, Callback callback)
+void Groups::listFrom(size_t next, Json::Value jobs, TimePoint deadline, Callback callback)
 {
     if (next >= m_groups.size()) {
         Json::Value answer;
@@ -253,17 +288,20 @@
         callback(std::move(answer));
         return;
     }
-    callOwner(listMethod, m_groups[next], Json::Value(Json::objectValue),
-              [this, next, jobs = std::move(jobs),
-               callback = std::move(callback)](absl::StatusOr<Json::Value> answer) mutable {
-                  if (!answer.ok()) {
-                      callback(answer.status());
-                      return;
-                  }
-                  for (const Json::Value &job : *answer)
-                      jobs.append(job);
-                  listFrom(next + 1, std::move(jobs), std::move(callback));
-              });
+    const auto answered = [this, next, deadline, jobs = std::move(jobs),
+                           callback = std::move(callback)](absl::StatusOr<Json::Value> answer) {
+        if (!answer.ok()) {
+            callback(answer.status());
+            return;
+        }
+        Json::Value all = jobs;
+        for (const Json::Value &job : *answer)
+            all.append(job);
+        listFrom(next + 1, std::move(all), deadline, callback);
+    };
+    callOwner(std::make_shared<OwnerCall>(OwnerCall{listMethod, m_groups[next],
+                                                    Json::Value(Json::objectValue),
+                                                    OwnerRetry(deadline), answered}));
 }
 
 // Section: workers
--- a/src/scheduler/groups.h
+++ b/src/scheduler/groups.h
@@ -7,6 +7,7 @@
 #include "platform/platform.h"
 #include "rpc/rpc.h"
 #include "scheduler/groupowner.h"
+#include "scheduler/ownerretry.h"
 #include "settings/cellsettings.h"
 
 #include <boost/asio/io_context.hpp>
@@ -65,17 +66,26 @@
     static std::vector<GroupId> groupsOf(const settings::CellSettings &settings);
 
 private:
-    using Answers = std::shared_ptr<std::vector<Json::Value>>;
+    struct OwnerCall
+    {
+        std::string method;
+        GroupId group;
+        Json::Value parameters;
+        OwnerRetry retry;
+        Callback callback;
+    };
 
     void addMethod(const std::string &name);
     void serve(const std::string &method, const GroupId &group, const Json::Value &parameters,
                Callback callback);
-    void callOwner(const std::string &method, const GroupId &group, const Json::Value &parameters,
-                   Callback callback);
+    // Tries until the owner has answered or the call's deadline has passed.
+    void callOwner(const std::shared_ptr<OwnerCall> &call);
+    void callOwnerOnce(const OwnerCall &call, Callback callback);
+    void callOwnerLater(const std::shared_ptr<OwnerCall> &call, TimePoint at);
     // Asks the owners one after the other until one knows the job.
     void callUntilKnown(const std::string &method, const Json::Value &parameters, size_t next,
-                        Callback callback);
-    void listFrom(size_t next, Json::Value jobs, Callback callback);
+                        TimePoint deadline, Callback callback);
+    void listFrom(size_t next, Json::Value jobs, TimePoint deadline, Callback callback);
     absl::StatusOr<GroupId> groupForJob(const Json::Value &body) const;
     GroupId groupOfWorker(const platform::Instance &instance) const;
     void readInstances();
--- /dev/null
+++ b/src/scheduler/ownerretry.cpp
@@ -0,0 +1,50 @@
+#include "scheduler/ownerretry.h"
+
+#include "base/error.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace cwl::scheduler {
+
+bool OwnerRetry::isRepeated(const absl::Status &failure)
+{
+    switch (failureOf(failure)) {
+    case Failure::ConnectionRefused:
+    case Failure::ConnectionLost:
+    case Failure::Timeout:
+    case Failure::DeadlinePassed:
+    case Failure::NoOwner:
+    case Failure::NotOwner:
+    case Failure::NotReady:
+    case Failure::LeaseLapsed:
+    case Failure::ShuttingDown:
+        return true;
+    default:
+        return false;
+    }
+}
+
+std::optional<TimePoint> OwnerRetry::nextTry(const absl::Status &failure, TimePoint now)
+{
+    const Failure kind = failureOf(failure);
+    if (kind == Failure::ConnectionLost || kind == Failure::Timeout)
+        m_mayHaveActed = true;
+    const TimePoint next = now + ownerRetryPause;
+    if (next >= m_deadline)
+        return std::nullopt;
+    return next;
+}
+
+absl::Status OwnerRetry::finalError(const GroupId &group) const
+{
+    if (m_mayHaveActed)
+        return makeError(Failure::ConnectionLost,
+                         absl::StrCat("the answer of the owner of ", group.value(),
+                                      " was lost; it may have acted on the call"),
+                         {.retryAfterMs = 1000});
+    return makeError(Failure::NoOwner,
+                     absl::StrCat(group.value(), " has no owner that answers at the moment"),
+                     {.retryAfterMs = 1000});
+}
+
+} // namespace cwl::scheduler
--- /dev/null
+++ b/tests/scheduler/ownerretry_test.cpp
@@ -0,0 +1,70 @@
+// Tests of when a call to a group's owner is tried again.
+
+#include "base/error.h"
+#include "scheduler/ownerretry.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using namespace cwl;
+using namespace cwl::scheduler;
+
+TimePoint at(int64_t ms)
+{
+    return TimePoint(milliseconds(1'000'000 + ms));
+}
+
+absl::Status failed(Failure failure)
+{
+    return makeError(failure, "failed in a test");
+}
+
+class OwnerRetryTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(OwnerRetryTest);
+    CPPUNIT_TEST(missingOwnerIsTriedAgainUntilTheDeadline);
+    CPPUNIT_TEST(answerOfTheOwnerIsFinal);
+    CPPUNIT_TEST(lostAnswerIsNotReportedAsNoOwner);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against an operator's call that fails while a dead owner is being replaced.
+    void missingOwnerIsTriedAgainUntilTheDeadline()
+    {
+        OwnerRetry retry(at(1000));
+        for (const Failure failure :
+             {Failure::ConnectionRefused, Failure::NoOwner, Failure::NotOwner, Failure::NotReady}) {
+            CPPUNIT_ASSERT(OwnerRetry::isRepeated(failed(failure)));
+            CPPUNIT_ASSERT(retry.nextTry(failed(failure), at(0)) == at(0) + ownerRetryPause);
+        }
+        CPPUNIT_ASSERT(!retry.nextTry(failed(Failure::NoOwner), at(1000) - ownerRetryPause));
+        const absl::Status last = retry.finalError(GroupId("worker/a"));
+        CPPUNIT_ASSERT(failureOf(last) == Failure::NoOwner);
+        CPPUNIT_ASSERT(detailOf(last).retryAfterMs.has_value());
+    }
+
+    // Guards against a refusal that is repeated instead of being passed on.
+    void answerOfTheOwnerIsFinal()
+    {
+        for (const Failure failure :
+             {Failure::JobConflict, Failure::UnknownJob, Failure::QueueFull, Failure::InvalidValue})
+            CPPUNIT_ASSERT(!OwnerRetry::isRepeated(failed(failure)));
+    }
+
+    // Guards against an answer that denies a job which the owner may have accepted.
+    void lostAnswerIsNotReportedAsNoOwner()
+    {
+        OwnerRetry retry(at(1000));
+        CPPUNIT_ASSERT(OwnerRetry::isRepeated(failed(Failure::ConnectionLost)));
+        CPPUNIT_ASSERT(retry.nextTry(failed(Failure::ConnectionLost), at(0)).has_value());
+        CPPUNIT_ASSERT(!retry.nextTry(failed(Failure::NoOwner), at(1000)));
+        const absl::Status last = retry.finalError(GroupId("worker/a"));
+        CPPUNIT_ASSERT(failureOf(last) == Failure::ConnectionLost);
+        CPPUNIT_ASSERT(detailOf(last).retryAfterMs.has_value());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OwnerRetryTest);
+
+} // namespace
--- a/tests/scheduler/run_test.cpp
+++ b/tests/scheduler/run_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(jobsOfEveryKindRun);
     CPPUNIT_TEST(cancelledJobStops);
     CPPUNIT_TEST(runningTasksSurviveTheirOwner);
+    CPPUNIT_TEST(callsWaitForTheNextOwner);
     CPPUNIT_TEST(workerThatFailsEverythingIsQuarantined);
     CPPUNIT_TEST_SUITE_END();
 
@@ -64,6 +65,28 @@
         cell.checkJudgements(15);
     }
 
+    // Guards against calls that fail at once while a dead owner is not replaced yet.
+    void callsWaitForTheNextOwner()
+    {
+        Cell cell(3);
+        CPPUNIT_ASSERT_EQUAL(200, cell.submit(job("before", "batch", 1, 200)).status);
+        CPPUNIT_ASSERT_MESSAGE(cell.logs(), cell.waitForDone("before"));
+        killOwner(cell);
+        // A takeover that outlasts the operator's deadline on a busy machine has one answer only.
+        const auto check = [&cell](const JsonAnswer &answer) {
+            const bool isTyped = answer.status == 503 && answer.body["error"]["type"] == "no_owner"
+                    && answer.body["error"]["retryAfterMs"].isInt();
+            CPPUNIT_ASSERT_MESSAGE(writeJson(answer.body) + cell.logs(),
+                                   answer.status == 200 || isTyped);
+        };
+        for (const char *path : {"/v1/jobs/before", "/v1/jobs", "/v1/jobs/before/explain"})
+            check(cell.call("GET", path));
+        check(cell.call("POST", "/v1/jobs", job("after", "batch", 1, 200)));
+        CPPUNIT_ASSERT_EQUAL(200, cell.submit(job("after", "batch", 1, 200)).status);
+        CPPUNIT_ASSERT_MESSAGE(cell.logs(), cell.waitForDone("after"));
+        cell.checkJudgements(2);
+    }
+
     // Guards against one broken worker that fails job after job.
     void workerThatFailsEverythingIsQuarantined()
     {
