Name a new member as a witness at once

Cause: a member lapses in a store outage if its row names no witnesses or those of a former run, and a row named a new member only up to 2 s after its registration: a read each second, then a renewal each second that may have been sent just before the read. scheduler-outage-test begins its outage about 2 s after the start of three schedulers. One to three of them lapsed (state dumps: lapses 1), the first one since it registered alone, then others that had lost their only witnesses. The owner lapsed in the outage, so the group had no owner until the store returned, then epoch 2. Ruled out: hand-over (handedOver 0 in the dumps), late promises (the members that did not lapse had asked for 4 to 8 and had got them), conflicts at the store. Change: a renewal is due as soon as a read shows a live member that no possible row of this member names. Members change only with a read, so this adds one write a second at most. Conclusion: a cell outlasts an outage that begins one read after its start. An outage within the first second still ends the members: the design gives no extension without witnesses.

--- a/src/ownership/renewer.cpp
+++ b/src/ownership/renewer.cpp
@@ -4,6 +4,7 @@
 #include "base/json.h"
 #include "ownership/constants.h"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -46,7 +47,11 @@
 {
     if (m_isStopped && !m_lease.pending())
         return;
-    if (!m_isDirectOpen && now >= m_nextAttempt)
+    // Without its witnesses in the row a member cannot outlast an outage of the store, so a new
+    // one is named at once. Members change only with a read: this adds one renewal a second at
+    // most.
+    const bool isDue = now >= m_nextAttempt || (!m_lease.pending() && isWitnessMissing());
+    if (!m_isDirectOpen && isDue)
         attemptDirectly(now);
     else if (m_isDirectOpen && now - m_attemptedAt >= relayAfter)
         attemptThroughPeer(now);
@@ -58,14 +63,28 @@
 {
     MemberEntry entry;
     entry.info = m_self;
+    entry.witnesses = liveOthers();
+    entry.renewals = ++m_renewals;
+    m_row = toJson(entry);
+    m_lease.beginRenewal(ChangeId(m_io.randomId()), entry.witnesses, now);
+}
+
+MemberSet Renewer::liveOthers() const
+{
+    MemberSet others;
     for (const MemberInfo &member : m_directory.live(m_self.role)) {
         // Another member at the same address is an earlier run of this process.
         if (member.id != m_self.id && member.rpcAddress != m_self.rpcAddress)
-            entry.witnesses.insert(member.id);
+            others.insert(member.id);
     }
-    entry.renewals = ++m_renewals;
-    m_row = toJson(entry);
-    m_lease.beginRenewal(ChangeId(m_io.randomId()), entry.witnesses, now);
+    return others;
+}
+
+bool Renewer::isWitnessMissing() const
+{
+    const MemberSet others = liveOthers();
+    const MemberSet named = m_lease.promiseCandidates();
+    return !std::includes(named.begin(), named.end(), others.begin(), others.end());
 }
 
 void Renewer::attemptDirectly(TimePoint now)
--- a/src/ownership/renewer.h
+++ b/src/ownership/renewer.h
@@ -32,6 +32,8 @@
 
 private:
     void begin(TimePoint now);
+    MemberSet liveOthers() const;
+    bool isWitnessMissing() const; // a live member is named in no possible row
     void attemptDirectly(TimePoint now);
     void directAnswer(const ChangeId &changeId, const absl::StatusOr<Revision> &answer);
     void attemptThroughPeer(TimePoint now);
--- a/tests/ownership/runner_test.cpp
+++ b/tests/ownership/runner_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(memberCutFromStoreRenewsThroughPeer);
     CPPUNIT_TEST(promisesHoldOffATakeover);
     CPPUNIT_TEST(outageIsBridgedByPromises);
+    CPPUNIT_TEST(outageSoonAfterTheStartIsBridged);
     CPPUNIT_TEST(outageEndsWithoutAMajority);
     CPPUNIT_TEST(pauseLosesGroupsBeforeNewRegistration);
     CPPUNIT_TEST(betterRankedMemberGetsGroupsByHandOver);
@@ -109,6 +110,22 @@
         CPPUNIT_ASSERT(simulation->process(owner).events.back().starts_with("lost"));
     }
 
+    // Guards against members that lapse in an outage because their rows do not name the others yet.
+    void outageSoonAfterTheStartIsBridged()
+    {
+        Simulation simulation(seed, 3, 6);
+        for (size_t i = 0; i < 3; ++i)
+            simulation.start(i);
+        simulation.runFor(milliseconds(1500)); // one read after the registrations
+        simulation.isOutage = true;
+        std::vector<MemberId> before;
+        for (size_t i = 0; i < 3; ++i)
+            before.push_back(simulation.process(i).runner->self().id);
+        simulation.runFor(seconds(30));
+        for (size_t i = 0; i < 3; ++i)
+            CPPUNIT_ASSERT(before[i] == simulation.process(i).runner->self().id);
+    }
+
     // Guards against an extension by a minority of the witnesses.
     void outageEndsWithoutAMajority()
     {
