Keep jobs that are not in the store when their group is lost

Cause: a job answered `durable: false` lived only in the memory of the group's owner. An owner that lapsed forgot it, so it was unknown to the next owner. Ruled out: writing the rows after the group was lost. A late row would not reach an owner that has read the table. Change: Groups keeps the rows whose last change is not stored when a group is lost, and submits them each second to the group's owner, which may be this process again, until the answer says durable. The call is job.submit with `keptRow`, which operators cannot send: it is not a field of a job. The new owner restores the job as one of an earlier epoch and resumes it only when every worker has answered a report asked for after that, or after taskLease, because its tasks may still run. Conclusion: an accepted job is lost only if the process that accepted it ends before the store has it. Until the next round of submissions (each second) job.show still answers unknown_job.

--- a/src/scheduler/groupowner.cpp
+++ b/src/scheduler/groupowner.cpp
@@ -1,10 +1,7 @@
 #include "scheduler/groupowner.h"
 
-#include "base/error.h"
 #include "node/log.h"
-#include "scheduler/describe.h"
 
-#include <absl/strings/str_cat.h>
 #include <boost/asio/post.hpp>
 
 #include <utility>
@@ -21,8 +18,6 @@
 constexpr size_t maxDecisionsPerPump = 500;
 // A start needs some validity left to reach the worker before its lease has ended.
 constexpr Duration minimumValidity = milliseconds(300);
-constexpr auto durableWait = std::chrono::seconds(2); // for the answer to a submission
-constexpr size_t maxListedJobs = 1000;
 
 } // namespace
 
@@ -118,23 +113,8 @@
 
 void GroupOwner::loaded(std::vector<JobRecord> records)
 {
-    const TimePoint now = BootClock::now();
-    for (JobRecord &record : records) {
-        const JobId id = record.spec.id;
-        const bool isOver = record.spec.kind != placement::JobKind::Service
-                && record.succeeded.size() + record.failed.size() >= record.spec.count;
-        if (record.state == JobState::Accepted && isOver)
-            record.state = JobState::Done;
-        if (record.state == JobState::Accepted) {
-            const absl::Status status = m_planner.restore({.spec = record.spec,
-                                                           .succeeded = record.succeeded.indexes(),
-                                                           .failed = record.failed.indexes()},
-                                                          now);
-            if (!status.ok())
-                log::error("job_not_restored", {{"job", id.value()}, {"error", status}});
-        }
-        m_jobs[id] = {.record = std::move(record), .isDurable = true, .isRestored = true};
-    }
+    for (JobRecord &record : records)
+        restore(std::move(record), true);
     m_isLoaded = true;
     log::info("jobs_loaded",
               {{"group", m_group.value()}, {"epoch", m_epoch.value()}, {"jobs", m_jobs.size()}});
@@ -143,6 +123,25 @@
     pumpSoon();
 }
 
+// A job of an earlier owner: it starts nothing until it is resumed.
+void GroupOwner::restore(JobRecord record, bool isDurable)
+{
+    const JobId id = record.spec.id;
+    const bool isOver = record.spec.kind != placement::JobKind::Service
+            && record.succeeded.size() + record.failed.size() >= record.spec.count;
+    if (record.state == JobState::Accepted && isOver)
+        record.state = JobState::Done;
+    if (record.state == JobState::Accepted) {
+        const absl::Status status = m_planner.restore({.spec = record.spec,
+                                                       .succeeded = record.succeeded.indexes(),
+                                                       .failed = record.failed.indexes()},
+                                                      BootClock::now());
+        if (!status.ok())
+            log::error("job_not_restored", {{"job", id.value()}, {"error", status}});
+    }
+    m_jobs[id] = {.record = std::move(record), .isDurable = isDurable, .isRestored = true};
+}
+
 void GroupOwner::tick()
 {
     if (m_isClosed)
@@ -190,6 +189,7 @@
         return;
     if (!m_isResumed && m_reconciliation.isComplete(now))
         finishReconciliation();
+    finishLateJobs(now);
     if (m_ports.validUntil() - now < minimumValidity)
         return;
     for (size_t decisions = 0; m_planner.decide(now, m_decision); ++decisions) {
@@ -204,12 +204,9 @@
 void GroupOwner::finishReconciliation()
 {
     m_isResumed = true;
-    for (auto &[id, job] : m_jobs) {
-        if (!job.isRestored || job.record.state != JobState::Accepted)
-            continue;
-        m_planner.resume(id);
-        if (job.record.spec.kind == placement::JobKind::Gang)
-            resumeGang(id);
+    for (const auto &[id, job] : m_jobs) {
+        if (job.isRestored && m_lateJobs.count(id) == 0)
+            resumeJob(id);
     }
     log::info("reconciled",
               {{"group", m_group.value()},
@@ -218,6 +215,28 @@
                {"missing_workers", m_reconciliation.missing()}});
 }
 
+void GroupOwner::finishLateJobs(TimePoint now)
+{
+    for (auto next = m_lateJobs.begin(); next != m_lateJobs.end();) {
+        const auto current = next++;
+        if (!current->second.isComplete(now))
+            continue;
+        const JobId id = current->first;
+        m_lateJobs.erase(current);
+        resumeJob(id);
+    }
+}
+
+void GroupOwner::resumeJob(const JobId &id)
+{
+    const JobRecord &record = m_jobs[id].record;
+    if (record.state != JobState::Accepted)
+        return;
+    m_planner.resume(id);
+    if (record.spec.kind == placement::JobKind::Gang)
+        resumeGang(id);
+}
+
 // A gang of an earlier epoch is complete, and goes on, or it starts again as a whole.
 void GroupOwner::resumeGang(const JobId &job)
 {
@@ -237,196 +256,6 @@
         wantStop(id);
 }
 
-// Section: jobs
-
-absl::Status GroupOwner::checkLoaded() const
-{
-    if (m_isLoaded && m_hasWorkers && m_settings)
-        return absl::OkStatus();
-    return stillLoading();
-}
-
-// A job is unknown only once the jobs of the earlier owner have been read.
-absl::Status GroupOwner::checkJobsLoaded() const
-{
-    return m_isLoaded ? absl::OkStatus() : stillLoading();
-}
-
-absl::Status GroupOwner::stillLoading() const
-{
-    return makeError(Failure::NotReady,
-                     absl::StrCat("the owner of ", m_group.value(), " is still loading"),
-                     {.retryAfterMs = 500});
-}
-
-void GroupOwner::submit(const Json::Value &body, JsonCallback callback)
-{
-    if (const absl::Status status = checkLoaded(); !status.ok()) {
-        callback(status);
-        return;
-    }
-    const auto spec = jobFromJson(body);
-    if (!spec.ok()) {
-        callback(spec.status());
-        return;
-    }
-    const auto known = m_jobs.find(spec->id);
-    if (known != m_jobs.end()) {
-        if (known->second.record.submitted == body)
-            answerSubmit(known->second, false, std::move(callback));
-        else
-            callback(makeError(Failure::JobConflict,
-                               absl::StrCat("job \"", spec->id.value(),
-                                            "\" was accepted with another specification"),
-                               {.field = "jobId"}));
-        return;
-    }
-    if (m_isReleasing) {
-        callback(makeError(Failure::NotOwner, "the group is being handed over",
-                           {.retryAfterMs = 500}));
-        return;
-    }
-    const absl::Status status = m_planner.submit(*spec, BootClock::now());
-    if (!status.ok()) {
-        callback(status);
-        return;
-    }
-    JobEntry &job = m_jobs[spec->id];
-    job.record.spec = *spec;
-    job.record.submitted = body;
-    answerSubmit(job, true, std::move(callback));
-    pumpSoon();
-}
-
-void GroupOwner::answerSubmit(JobEntry &job, bool isNew, JsonCallback callback)
-{
-    const JobId id = job.record.spec.id;
-    const auto answer = [id](bool isDurable) {
-        Json::Value value;
-        value["jobId"] = id.value();
-        value["accepted"] = true;
-        value["durable"] = isDurable;
-        return value;
-    };
-    const bool isStoreDown = !m_store->isHealthy();
-    if (job.isDurable || isStoreDown) {
-        if (isNew)
-            jobChanged(job);
-        callback(answer(job.isDurable));
-        return;
-    }
-    // Whichever comes first: the store has the job, or the wait is over.
-    const auto once = std::make_shared<JsonCallback>(std::move(callback));
-    const auto reply = [once](const absl::StatusOr<Json::Value> &value) {
-        if (const JsonCallback respond = std::exchange(*once, {}))
-            respond(value);
-    };
-    const auto timer = std::make_shared<asio::steady_timer>(m_ports.control, durableWait);
-    jobChanged(job, [reply, answer, timer](const absl::Status &status) {
-        timer->cancel();
-        if (status.ok())
-            reply(answer(true));
-        else
-            reply(status);
-    });
-    timer->async_wait(
-            [reply, answer, timer](const boost::system::error_code &) { reply(answer(false)); });
-}
-
-void GroupOwner::jobChanged(JobEntry &job, JobStore::Saved saved)
-{
-    const JobId id = job.record.spec.id;
-    m_store->save(
-            job.record,
-            [self = weak_from_this(), id, saved = std::move(saved)](const absl::Status &status) {
-                const std::shared_ptr<GroupOwner> owner = self.lock();
-                if (!owner)
-                    return;
-                if (status.ok()) {
-                    owner->m_jobs[id].isDurable = true;
-                } else {
-                    log::error("job_not_stored", {{"job", id.value()}, {"error", status}});
-                    owner->undoSubmit(id);
-                }
-                if (saved)
-                    saved(status);
-            });
-}
-
-// An earlier owner stored another job of this id after this owner had read the table.
-void GroupOwner::undoSubmit(const JobId &id)
-{
-    if (const auto running = m_planner.cancel(id); running.ok()) {
-        for (const placement::Assignment &task : *running)
-            wantStop(taskId(id, task.task.index));
-    }
-    m_jobs[id].record.state = JobState::Cancelled;
-}
-
-void GroupOwner::cancel(const JobId &id, JsonCallback callback)
-{
-    if (const absl::Status status = checkLoaded(); !status.ok()) {
-        callback(status);
-        return;
-    }
-    const auto found = m_jobs.find(id);
-    if (found == m_jobs.end()) {
-        callback(makeError(Failure::UnknownJob, absl::StrCat("job \"", id.value(), "\" is unknown"),
-                           {.field = "jobId"}));
-        return;
-    }
-    JobEntry &job = found->second;
-    if (job.record.state == JobState::Accepted) {
-        job.record.state = JobState::Cancelled;
-        if (const auto running = m_planner.cancel(id); running.ok()) {
-            for (const placement::Assignment &task : *running)
-                wantStop(taskId(id, task.task.index));
-        }
-        m_gangs.erase(id);
-        jobChanged(job);
-        pumpSoon();
-    }
-    Json::Value answer;
-    answer["jobId"] = id.value();
-    answer["state"] = jobStateName(job.record.state);
-    callback(answer);
-}
-
-absl::StatusOr<Json::Value> GroupOwner::show(const JobId &id) const
-{
-    if (const absl::Status status = checkJobsLoaded(); !status.ok())
-        return status;
-    const auto found = m_jobs.find(id);
-    if (found == m_jobs.end())
-        return makeError(Failure::UnknownJob, absl::StrCat("job \"", id.value(), "\" is unknown"),
-                         {.field = "jobId"});
-    return describeJob(found->second.record, m_planner.counts(id), found->second.isDurable);
-}
-
-absl::StatusOr<Json::Value> GroupOwner::explain(const JobId &id) const
-{
-    if (const absl::Status status = checkJobsLoaded(); !status.ok())
-        return status;
-    const auto found = m_jobs.find(id);
-    if (found == m_jobs.end())
-        return makeError(Failure::UnknownJob, absl::StrCat("job \"", id.value(), "\" is unknown"),
-                         {.field = "jobId"});
-    return explainJob(found->second.record, m_planner, BootClock::now());
-}
-
-absl::StatusOr<Json::Value> GroupOwner::list() const
-{
-    if (const absl::Status status = checkJobsLoaded(); !status.ok())
-        return status;
-    Json::Value jobs(Json::arrayValue);
-    for (const auto &[id, job] : m_jobs) {
-        if (jobs.size() == maxListedJobs)
-            break;
-        jobs.append(describeJob(job.record, m_planner.counts(id), job.isDurable));
-    }
-    return jobs;
-}
-
 // Section: state
 
 Json::Value GroupOwner::state() const
--- a/src/scheduler/groupowner.h
+++ b/src/scheduler/groupowner.h
@@ -61,6 +61,11 @@
     // Section: jobs. Answers are those of docs/design.md, section 9.4.
 
     void submit(const Json::Value &body, JsonCallback callback);
+    // A job that an earlier owner accepted and did not store, as a row of the table `jobs`. Its
+    // tasks may run. The answer is that of submit().
+    void submitKept(const Json::Value &row, JsonCallback callback);
+    // Rows of the jobs whose last change is not in the store.
+    std::vector<Json::Value> unstoredJobs() const;
     void cancel(const JobId &job, JsonCallback callback);
     absl::StatusOr<Json::Value> show(const JobId &job) const;
     absl::StatusOr<Json::Value> explain(const JobId &job) const;
@@ -125,6 +130,9 @@
     void pumpSoon();
     void pump();
     void finishReconciliation();
+    void finishLateJobs(TimePoint now);
+    void resumeJob(const JobId &job);
+    void restore(JobRecord record, bool isDurable);
     void resumeGang(const JobId &job);
     void answerSubmit(JobEntry &job, bool isNew, JsonCallback callback);
     void undoSubmit(const JobId &job);
@@ -181,6 +189,8 @@
     std::unordered_map<TaskId, Task> m_tasks;
     std::map<WorkerId, WorkerEntry> m_workers;
     std::map<JobId, GangStart> m_gangs;
+    // Jobs of an earlier owner that became known after the takeover: each waits on its own.
+    std::map<JobId, Reconciliation> m_lateJobs;
     std::vector<platform::Instance> m_listed; // until the jobs are loaded
     std::function<void()> m_released;
     boost::asio::steady_timer m_tickTimer;
--- a/src/scheduler/groups.cpp
+++ b/src/scheduler/groups.cpp
@@ -21,6 +21,9 @@
 constexpr Duration callDeadline = seconds(5); // of one try
 // An operator waits 10 s; the rest is for the way of the answer.
 constexpr Duration operatorsPatience = milliseconds(9500);
+constexpr auto keptInterval = std::chrono::seconds(1); // between two rounds of submissions
+constexpr size_t maxKeptCalls = 32;                    // of one round
+constexpr const char *keptRow = "keptRow"; // of job.submit between schedulers, not of operators
 constexpr const char *submitMethod = "job.submit";
 constexpr const char *cancelMethod = "job.cancel";
 constexpr const char *showMethod = "job.show";
@@ -44,6 +47,7 @@
 Groups::Groups(Ports ports)
     : m_ports(std::move(ports))
     , m_instancesTimer(m_ports.control)
+    , m_keptTimer(m_ports.control)
 {
     for (const char *method : {submitMethod, cancelMethod, showMethod, listMethod, explainMethod})
         addMethod(method);
@@ -80,6 +84,7 @@
 void Groups::start()
 {
     readInstances();
+    submitKeptLater();
 }
 
 void Groups::setSettings(const SharedSettings &settings)
@@ -112,6 +117,7 @@
     if (found == m_owners.end())
         return;
     log::info("group_lost", {{"group", group.value()}});
+    keepJobs(group, *found->second);
     found->second->close();
     m_owners.erase(found);
 }
@@ -129,6 +135,68 @@
     });
 }
 
+// Section: jobs of lost groups
+
+void Groups::keepJobs(const GroupId &group, const GroupOwner &owner)
+{
+    for (Json::Value &row : owner.unstoredJobs()) {
+        const JobId job(row["job"]["jobId"].asString());
+        log::info("job_kept", {{"group", group.value()}, {"job", job.value()}});
+        m_kept[{group, job}] = {.row = std::move(row), .number = ++m_keptNumber};
+    }
+}
+
+void Groups::submitKept()
+{
+    size_t underWay = 0;
+    for (auto &[key, kept] : m_kept) {
+        if (kept.isUnderWay || underWay == maxKeptCalls)
+            continue;
+        ++underWay;
+        kept.isUnderWay = true;
+        Json::Value parameters;
+        parameters[keptRow] = kept.row;
+        const OwnerCall call{submitMethod,
+                             key.first,
+                             parameters,
+                             OwnerRetry(BootClock::now() + callDeadline),
+                             {}};
+        callOwnerOnce(
+                call,
+                [this, key = key, number = kept.number](const absl::StatusOr<Json::Value> &answer) {
+                    // Not at once: an answer of this process's own group may come during the loop
+                    // above.
+                    asio::post(m_ports.control,
+                               [this, key, number, answer] { keptAnswered(key, number, answer); });
+                });
+    }
+    submitKeptLater();
+}
+
+void Groups::keptAnswered(const std::pair<GroupId, JobId> &job, uint64_t number,
+                          const absl::StatusOr<Json::Value> &answer)
+{
+    const auto kept = m_kept.find(job);
+    if (kept == m_kept.end() || kept->second.number != number)
+        return;
+    kept->second.isUnderWay = false;
+    const bool isDurable = answer.ok() && (*answer)["durable"].asBool();
+    const bool isRefused = !answer.ok() && failureOf(answer.status()) == Failure::JobConflict;
+    if (isRefused)
+        log::error("kept_job_refused", {{"job", job.second.value()}, {"error", answer.status()}});
+    if (isDurable || isRefused)
+        m_kept.erase(kept);
+}
+
+void Groups::submitKeptLater()
+{
+    m_keptTimer.expires_after(keptInterval);
+    m_keptTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            submitKept();
+    });
+}
+
 // Section: calls to the owner
 
 void Groups::serve(const std::string &method, const GroupId &group, const Json::Value &parameters,
@@ -144,7 +212,9 @@
     }
     GroupOwner &owner = *found->second;
     const JobId job(parameters.isObject() ? parameters.get("jobId", "").asString() : "");
-    if (method == submitMethod)
+    if (method == submitMethod && parameters.isObject() && parameters.isMember(keptRow))
+        owner.submitKept(parameters[keptRow], std::move(callback));
+    else if (method == submitMethod)
         owner.submit(parameters, std::move(callback));
     else if (method == cancelMethod)
         owner.cancel(job, std::move(callback));
--- a/src/scheduler/groups.h
+++ b/src/scheduler/groups.h
@@ -75,6 +75,13 @@
         Callback callback;
     };
 
+    struct KeptJob
+    {
+        Json::Value row;     // of the table `jobs`
+        uint64_t number = 0; // tells it from an earlier one of the same id
+        bool isUnderWay = false;
+    };
+
     void addMethod(const std::string &name);
     void serve(const std::string &method, const GroupId &group, const Json::Value &parameters,
                Callback callback);
@@ -92,12 +99,22 @@
     void takeInstances(const std::vector<platform::Instance> &instances,
                        const std::vector<std::weak_ptr<GroupOwner>> &askedFor);
     void readInstancesLater();
+    // Jobs that were accepted here and were not in the store when their group was lost go to the
+    // next owner until it has stored them.
+    void keepJobs(const GroupId &group, const GroupOwner &owner);
+    void submitKept();
+    void submitKeptLater();
+    void keptAnswered(const std::pair<GroupId, JobId> &job, uint64_t number,
+                      const absl::StatusOr<Json::Value> &answer);
 
     Ports m_ports;
     SharedSettings m_settings;
     std::vector<GroupId> m_groups;
     std::map<GroupId, std::shared_ptr<GroupOwner>> m_owners;
     boost::asio::steady_timer m_instancesTimer;
+    std::map<std::pair<GroupId, JobId>, KeptJob> m_kept;
+    boost::asio::steady_timer m_keptTimer;
+    uint64_t m_keptNumber = 0;
 };
 
 } // namespace cwl::scheduler
--- a/src/scheduler/groupworkers.cpp
+++ b/src/scheduler/groupworkers.cpp
@@ -42,6 +42,8 @@
     for (const WorkerId &id : gone)
         removeWorker(id);
     m_reconciliation.setWorkers(listed);
+    for (auto &[id, reconciliation] : m_lateJobs)
+        reconciliation.setWorkers(listed);
     pumpSoon();
 }
 
@@ -140,7 +142,9 @@
     const std::vector<TaskId> unwanted = takeRunning(worker, report, askedAt);
     if (!unwanted.empty())
         sendStops(worker, unwanted);
-    m_reconciliation.reported(id);
+    m_reconciliation.reported(id, askedAt);
+    for (auto &[job, reconciliation] : m_lateJobs)
+        reconciliation.reported(id, askedAt);
     // What runs without being accounted for takes room: nothing starts there until it has ended.
     m_planner.setReported(worker.number, unwanted.empty());
     m_planner.setReachable(worker.number, true);
@@ -202,7 +206,8 @@
     worker.tasks.insert(reported.id);
     m_tasks.emplace(reported.id, std::move(task));
     // A gang that was complete before may be seen in part only after the wait.
-    if (m_isResumed && job->second.record.spec.kind == placement::JobKind::Gang)
+    const bool isWaitOver = m_isResumed && m_lateJobs.count(parsed->first) == 0;
+    if (isWaitOver && job->second.record.spec.kind == placement::JobKind::Gang)
         resumeGang(parsed->first);
     return true;
 }
--- a/src/scheduler/jobstore.cpp
+++ b/src/scheduler/jobstore.cpp
@@ -85,6 +85,12 @@
     writeSome();
 }
 
+bool JobStore::isStored(const JobId &job) const
+{
+    const auto entry = m_entries.find(job);
+    return entry != m_entries.end() && !entry->second.next && !entry->second.commit;
+}
+
 void JobStore::queue(const JobId &job, Entry &entry)
 {
     if (entry.isQueued || entry.isUnderWay)
--- a/src/scheduler/jobstore.h
+++ b/src/scheduler/jobstore.h
@@ -35,6 +35,7 @@
     void save(const JobRecord &record, Saved saved);
     void close(); // no callback comes after it
 
+    bool isStored(const JobId &job) const; // its last change
     size_t pending() const { return m_dirty.size() + m_underWay; }
     bool isHealthy() const { return m_failuresInRow == 0 && m_platform.isAvailable(); }
 
--- a/src/scheduler/reconciliation.cpp
+++ b/src/scheduler/reconciliation.cpp
@@ -6,6 +6,7 @@
 
 Reconciliation::Reconciliation(bool isFirstOwner, TimePoint acquiredAt)
     : m_isComplete(isFirstOwner)
+    , m_acquiredAt(acquiredAt)
     , m_deadline(acquiredAt + lengthenedByClockError(taskLease))
 {
 }
@@ -16,9 +17,10 @@
     m_hasWorkers = true;
 }
 
-void Reconciliation::reported(const WorkerId &worker)
+void Reconciliation::reported(const WorkerId &worker, TimePoint askedAt)
 {
-    m_reported.insert(worker);
+    if (askedAt >= m_acquiredAt)
+        m_reported.insert(worker);
 }
 
 size_t Reconciliation::missing() const
--- a/src/scheduler/reconciliation.h
+++ b/src/scheduler/reconciliation.h
@@ -15,12 +15,14 @@
 class Reconciliation
 {
 public:
-    // `isFirstOwner`: no earlier epoch exists, so nothing can run yet.
+    // `isFirstOwner`: no earlier epoch exists, so nothing can run yet. `acquiredAt`: of the
+    // takeover, or the time at which a job of an earlier owner became known.
     Reconciliation(bool isFirstOwner, TimePoint acquiredAt);
 
     // The workers of the group, from an instance list that was asked for after the takeover.
     void setWorkers(const std::set<WorkerId> &workers);
-    void reported(const WorkerId &worker);
+    // A report that was asked for before the takeover does not count.
+    void reported(const WorkerId &worker, TimePoint askedAt);
 
     // True once no task of an earlier epoch can run without being known. Stays true.
     bool isComplete(TimePoint now);
@@ -30,6 +32,7 @@
 private:
     bool m_isComplete = false;
     bool m_hasWorkers = false;
+    TimePoint m_acquiredAt = {};
     TimePoint m_deadline = {};
     std::set<WorkerId> m_workers;
     std::set<WorkerId> m_reported;
--- a/tests/scheduler/outage_test.cpp
+++ b/tests/scheduler/outage_test.cpp
@@ -11,6 +11,7 @@
 {
     CPPUNIT_TEST_SUITE(SchedulerOutageTest);
     CPPUNIT_TEST(jobAcceptedInAStoreOutageRunsAndIsStoredLater);
+    CPPUNIT_TEST(jobOfALapsedOwnerReachesTheNextOne);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -32,6 +33,29 @@
         cell.checkJudgements(7);
     }
 
+    // Guards against a job that is forgotten with its owner's epoch, and against a second run of
+    // its tasks by the next owner. A lone scheduler has no witnesses: it lapses in an outage.
+    void jobOfALapsedOwnerReachesTheNextOne()
+    {
+        Cell cell(1);
+        CPPUNIT_ASSERT_EQUAL(200, cell.submit(job("before", "batch", 1, 100)).status);
+        CPPUNIT_ASSERT_MESSAGE(cell.logs(), cell.waitForDone("before"));
+        setOutage(cell, true);
+        const JsonAnswer accepted = cell.submit(job("during", "batch", 6, 4000));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(cell.logs(), 200, accepted.status);
+        CPPUNIT_ASSERT(!accepted.body["durable"].asBool());
+        const std::string address = cell.deployment().scheduler(0).httpAddress();
+        CPPUNIT_ASSERT_MESSAGE(cell.logs(), waitUntil(patience(), [&address] {
+                                   const auto answer = getJson(address, "/v1/workers");
+                                   return answer.ok() && answer->body["workers"].empty();
+                               }));
+        setOutage(cell, false);
+        CPPUNIT_ASSERT_MESSAGE(cell.logs(), cell.waitForJob("during", [](const Json::Value &body) {
+            return body["durable"].asBool() && body["state"] == "done";
+        }));
+        cell.checkJudgements(7);
+    }
+
 private:
     static void setOutage(const Cell &cell, bool isOut)
     {
--- a/tests/scheduler/tasklife_test.cpp
+++ b/tests/scheduler/tasklife_test.cpp
@@ -85,7 +85,9 @@
         Reconciliation waits(false, at(0));
         CPPUNIT_ASSERT(!waits.isComplete(at(1)));
         waits.setWorkers({WorkerId("a"), WorkerId("b")});
-        waits.reported(WorkerId("a"));
+        waits.reported(WorkerId("a"), at(1));
+        CPPUNIT_ASSERT(!waits.isComplete(at(2)));
+        waits.reported(WorkerId("b"), at(-1)); // asked for before the takeover
         CPPUNIT_ASSERT(!waits.isComplete(at(2)));
         Reconciliation gone = waits;
         gone.setWorkers({WorkerId("a")});
@@ -93,7 +95,7 @@
         Reconciliation late = waits;
         CPPUNIT_ASSERT(!late.isComplete(at(60120)));
         CPPUNIT_ASSERT(late.isComplete(at(60121)));
-        waits.reported(WorkerId("b"));
+        waits.reported(WorkerId("b"), at(3));
         CPPUNIT_ASSERT(waits.isComplete(at(4)));
     }
 
