Test that a renewal in transit ends with the new owner's wait

Cause: a renewal of the earlier owner may extend a lease after a worker's report to the new owner. No test covered the time for which the new owner counts such a task as running. Checked, without a fault found: a task of an earlier epoch that is kept runs until taskLease * (1 + clockRateError) from its report, which is not before the takeover, or until a later report no longer shows it; a worker that shows a task that is not kept gets nothing new while it shows it; with a worker missing, nothing of an earlier epoch starts before takeover + taskLease * (1 + clockRateError). Change: a property over clock rates within the error, the time of the renewal and of the report. Conclusion: no change of src/scheduler is needed for renewals in transit.

--- a/tests/scheduler/tasklife_test.cpp
+++ b/tests/scheduler/tasklife_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(unreachableTaskRunsUntilItsLastLease);
     CPPUNIT_TEST(overIsFinal);
     CPPUNIT_TEST(newOwnerWaitsForEveryWorkerOrTheLease);
+    CPPUNIT_TEST(renewalInTransitEndsWithTheWait);
     CPPUNIT_TEST(firstOwnerWaitsForNothing);
     CPPUNIT_TEST(deadlineOnAnyWorkerClockEndsInTime);
     CPPUNIT_TEST_SUITE_END();
@@ -99,6 +100,43 @@
         CPPUNIT_ASSERT(waits.isComplete(at(4)));
     }
 
+    // Guards against a second start of a task whose lease a renewal of the earlier owner extends
+    // after the new owner has its report. Time is that of the new owner's clock.
+    void renewalInTransitEndsWithTheWait()
+    {
+        const bool holds = rc::check("renewal in transit", [] {
+            const double ownerRate = 1 + *rc::gen::inRange(-999, 1000) / 1e6;
+            const double workerRate = 1 + *rc::gen::inRange(-999, 1000) / 1e6;
+            const int64_t offset = *rc::gen::inRange<int64_t>(0, 1'000'000'000);
+            const int64_t takeover = *rc::gen::inRange(10000, 20000);
+            const int64_t sent = *rc::gen::inRange<int64_t>(5000, takeover + 1);
+            const int64_t report = takeover + *rc::gen::inRange(0, 70000);
+            const auto ownerTime = [&](int64_t ms) {
+                return at(static_cast<int64_t>(static_cast<double>(ms) * ownerRate));
+            };
+            WorkerClock clock; // as the earlier owner knows it
+            clock.reported(offset, ownerTime(0));
+            const int64_t deadline = *clock.notLaterThan(ownerTime(sent) + taskLease);
+            const auto leaseEnd =
+                    static_cast<int64_t>(static_cast<double>(deadline - offset) / workerRate);
+
+            // The task is kept: it runs for the new owner as long as it may run on the worker.
+            TaskLife kept =
+                    TaskLife::adopted(at(report), at(report) + lengthenedByClockError(taskLease));
+            kept.timePassed(at(leaseEnd));
+            RC_ASSERT(!kept.isOver());
+            // The worker has not reported it: nothing of an earlier epoch starts elsewhere by then.
+            Reconciliation wait(false, at(takeover));
+            wait.setWorkers({WorkerId("a")});
+            RC_ASSERT(!wait.isComplete(at(leaseEnd)));
+            RC_ASSERT(wait.deadline() == at(takeover) + lengthenedByClockError(taskLease));
+            // A report that no longer shows it is final.
+            kept.reported(false, at(report + 1), at(report + 2));
+            RC_ASSERT(kept.cause() == TaskCause::MissingInReport);
+        });
+        CPPUNIT_ASSERT(holds);
+    }
+
     // Guards against a new cell that waits a minute before its first start.
     void firstOwnerWaitsForNothing()
     {
