Forward drains to the owner and keep them in the store

Cause: POST /v1/workers/{id}/drain worked only at the process that owns the worker's group, and the order lived in that owner's memory, so a takeover lost it. Ruled out: rows in the table `jobs`. Its loader reads every row under the group's prefix as a job, so a table of its own is simpler. Change: the method worker.drain goes to the owner like the calls of jobs, with the same retries and trying the groups one after the other. The owner applies the order at once and writes the row `<group>/<worker>` of the table `drains`, or deletes it, until the store has it. A new owner reads the rows with the jobs. A hand-over waits until they are written. A call that names a job answers not_ready, no longer unknown_job, while the settings are unknown. Conclusion: a drain outlasts its owner once it is stored. An order that the store has not taken when its owner dies is lost; the answer does not tell whether it is stored.

--- /dev/null
+++ b/src/scheduler/drainstore.cpp
@@ -0,0 +1,161 @@
+#include "scheduler/drainstore.h"
+
+#include "base/error.h"
+#include "base/random.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace cwl::scheduler {
+
+namespace {
+
+constexpr const char *table = "drains";
+constexpr Duration deadline = seconds(10); // of one read or commit
+constexpr auto retryPause = std::chrono::milliseconds(500);
+
+// A worker that is not drained has no row.
+Json::Value rowOf(bool isDraining)
+{
+    Json::Value row;
+    if (isDraining)
+        row["draining"] = true;
+    return row;
+}
+
+} // namespace
+
+DrainStore::DrainStore(boost::asio::io_context &control, platform::Client &platform,
+                       const GroupId &group)
+    : m_platform(platform)
+    , m_group(group)
+    , m_retryTimer(control)
+{
+}
+
+std::string DrainStore::keyOf(const WorkerId &worker) const
+{
+    return absl::StrCat(m_group.value(), "/", worker.value());
+}
+
+void DrainStore::close()
+{
+    m_isClosed = true;
+    m_retryTimer.cancel();
+}
+
+size_t DrainStore::pending() const
+{
+    return static_cast<size_t>(
+            std::count_if(m_entries.begin(), m_entries.end(), [](const auto &entry) {
+                return entry.second.next || entry.second.commit;
+            }));
+}
+
+void DrainStore::load(Loaded loaded)
+{
+    const std::string prefix = m_group.value() + "/";
+    m_platform.read({{.table = table, .prefix = prefix}}, BootClock::now() + deadline,
+                    [self = shared_from_this(), prefix, loaded = std::move(loaded)](
+                            const absl::StatusOr<std::vector<std::vector<platform::Row>>> &rows) {
+                        if (self->m_isClosed)
+                            return;
+                        if (!rows.ok()) {
+                            loaded(rows.status());
+                            return;
+                        }
+                        std::set<WorkerId> workers;
+                        for (const platform::Row &row : rows->front()) {
+                            const WorkerId worker(row.key.substr(prefix.size()));
+                            self->m_entries[worker].revision = row.revision;
+                            workers.insert(worker);
+                        }
+                        loaded(std::move(workers));
+                    });
+}
+
+void DrainStore::save(const WorkerId &worker, bool isDraining)
+{
+    Entry &entry = m_entries[worker];
+    entry.next = isDraining;
+    write(worker, entry);
+}
+
+void DrainStore::write(const WorkerId &worker, Entry &entry)
+{
+    if (m_isClosed || entry.isUnderWay || (!entry.next && !entry.commit))
+        return;
+    entry.isUnderWay = true;
+    if (!entry.commit) {
+        platform::Commit commit;
+        commit.changeId = ChangeId(randomHexId());
+        commit.conditions.push_back({table, keyOf(worker), entry.revision});
+        commit.writes.push_back({table, keyOf(worker), rowOf(*entry.next)});
+        entry.next.reset();
+        entry.commit = std::move(commit);
+    }
+    m_platform.commit(*entry.commit, BootClock::now() + deadline,
+                      [self = shared_from_this(), worker](absl::StatusOr<Revision> result) {
+                          if (!self->m_isClosed)
+                              self->written(worker, result);
+                      });
+}
+
+void DrainStore::written(const WorkerId &worker, const absl::StatusOr<Revision> &result)
+{
+    Entry &entry = m_entries[worker];
+    entry.isUnderWay = false;
+    if (result.ok()) {
+        const bool isDeleted = entry.commit->writes.front().value.isNull();
+        entry.revision = isDeleted ? Revision() : *result;
+        entry.commit.reset();
+        write(worker, entry);
+    } else if (failureOf(result.status()) == Failure::Conflict) {
+        readBack(worker);
+    } else {
+        // The same change id again: it takes effect once, whatever became of the first try.
+        writeLater();
+    }
+}
+
+// A late write of an earlier owner came first; this owner's order is the newer one.
+void DrainStore::readBack(const WorkerId &worker)
+{
+    m_entries[worker].isUnderWay = true;
+    m_platform.read({{.table = table, .key = keyOf(worker)}}, BootClock::now() + deadline,
+                    [self = shared_from_this(),
+                     worker](const absl::StatusOr<std::vector<std::vector<platform::Row>>> &rows) {
+                        if (self->m_isClosed)
+                            return;
+                        Entry &entry = self->m_entries[worker];
+                        entry.isUnderWay = false;
+                        if (rows.ok()) {
+                            const auto &found = rows->front();
+                            entry.revision = found.empty() ? Revision() : found.front().revision;
+                            if (!entry.next)
+                                entry.next = !entry.commit->writes.front().value.isNull();
+                            entry.commit.reset();
+                        }
+                        self->writeLater();
+                    });
+}
+
+void DrainStore::writeLater()
+{
+    if (m_isRetrying)
+        return;
+    m_isRetrying = true;
+    m_retryTimer.expires_after(retryPause);
+    m_retryTimer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (error || self->m_isClosed)
+            return;
+        self->m_isRetrying = false;
+        for (auto &[worker, entry] : self->m_entries)
+            self->write(worker, entry);
+    });
+}
+
+} // namespace cwl::scheduler
--- /dev/null
+++ b/src/scheduler/drainstore.h
@@ -0,0 +1,60 @@
+// Rows of the table `drains` of one worker group: workers that operators drain. Read at takeover,
+// written in the background.
+
+#pragma once
+
+#include "base/strongid.h"
+#include "platform/platform.h"
+
+#include <absl/status/statusor.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace cwl::scheduler {
+
+// All calls and callbacks are on the control thread.
+class DrainStore : public std::enable_shared_from_this<DrainStore>
+{
+public:
+    using Loaded = std::function<void(absl::StatusOr<std::set<WorkerId>>)>;
+
+    DrainStore(boost::asio::io_context &control, platform::Client &platform, const GroupId &group);
+
+    void load(Loaded loaded);
+    // Goes on until the store has it. A later call for the same worker takes its place.
+    void save(const WorkerId &worker, bool isDraining);
+    void close(); // no callback comes after it
+
+    size_t pending() const; // workers whose last change is not stored
+
+private:
+    struct Entry
+    {
+        Revision revision;                           // of the row as last known
+        std::optional<bool> next = {};               // to be written
+        std::optional<platform::Commit> commit = {}; // under way, or of unknown outcome
+        bool isUnderWay = false;
+    };
+
+    std::string keyOf(const WorkerId &worker) const;
+    void write(const WorkerId &worker, Entry &entry);
+    void written(const WorkerId &worker, const absl::StatusOr<Revision> &result);
+    void readBack(const WorkerId &worker);
+    void writeLater();
+
+    platform::Client &m_platform;
+    GroupId m_group;
+    std::map<WorkerId, Entry> m_entries;
+    boost::asio::steady_timer m_retryTimer;
+    bool m_isRetrying = false;
+    bool m_isClosed = false;
+};
+
+} // namespace cwl::scheduler
--- a/src/scheduler/groupowner.cpp
+++ b/src/scheduler/groupowner.cpp
@@ -37,6 +37,7 @@
     , m_reconciliation(acquisition.isFirstOwner, acquisition.acquiredAt)
     , m_planner({})
     , m_store(std::make_shared<JobStore>(m_ports.control, m_ports.platform, m_group))
+    , m_drainStore(std::make_shared<DrainStore>(m_ports.control, m_ports.platform, m_group))
     , m_tickTimer(m_ports.control)
     , m_loadTimer(m_ports.control)
     , m_started(m_ports.metrics.counter("cwl_tasks_started_total", "Starts acknowledged."))
@@ -58,6 +59,7 @@
     m_tickTimer.cancel();
     m_loadTimer.cancel();
     m_store->close();
+    m_drainStore->close();
     for (auto &[id, worker] : m_workers)
         worker.link->close();
 }
@@ -94,20 +96,39 @@
 
 void GroupOwner::load()
 {
-    m_store->load([self = shared_from_this()](absl::StatusOr<std::vector<JobRecord>> records) {
-        if (self->m_isClosed)
-            return;
-        if (records.ok()) {
-            self->loaded(*std::move(records));
-            return;
-        }
-        log::warn("jobs_not_loaded",
-                  {{"group", self->m_group.value()}, {"error", records.status()}});
-        self->m_loadTimer.expires_after(loadPause);
-        self->m_loadTimer.async_wait([self](const boost::system::error_code &error) {
-            if (!error)
-                self->load();
-        });
+    m_store->load(
+            [self = shared_from_this()](const absl::StatusOr<std::vector<JobRecord>> &records) {
+                if (self->m_isClosed)
+                    return;
+                if (records.ok())
+                    self->loadDrains(*records);
+                else
+                    self->loadLater(records.status());
+            });
+}
+
+void GroupOwner::loadDrains(const std::vector<JobRecord> &records)
+{
+    m_drainStore->load(
+            [self = shared_from_this(), records](absl::StatusOr<std::set<WorkerId>> workers) {
+                if (self->m_isClosed)
+                    return;
+                if (!workers.ok()) {
+                    self->loadLater(workers.status());
+                    return;
+                }
+                self->m_draining = *std::move(workers);
+                self->loaded(records);
+            });
+}
+
+void GroupOwner::loadLater(const absl::Status &failure)
+{
+    log::warn("jobs_not_loaded", {{"group", m_group.value()}, {"error", failure}});
+    m_loadTimer.expires_after(loadPause);
+    m_loadTimer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (!error)
+            self->load();
     });
 }
 
@@ -158,8 +179,8 @@
             isStartOpen = isStartOpen || task.life.phase() == TaskPhase::Sent
                     || task.life.phase() == TaskPhase::Unsure;
         }
-        // The next owner knows only the jobs and outcomes that are in the store.
-        if (!isStartOpen && m_store->pending() == 0)
+        // The next owner knows only the jobs, outcomes and drains that are in the store.
+        if (!isStartOpen && m_store->pending() == 0 && m_drainStore->pending() == 0)
             std::exchange(m_released, {})();
     }
     m_tickTimer.expires_after(tickInterval);
--- a/src/scheduler/groupowner.h
+++ b/src/scheduler/groupowner.h
@@ -11,6 +11,7 @@
 #include "ownership/member.h"
 #include "placement/planner.h"
 #include "platform/platform.h"
+#include "scheduler/drainstore.h"
 #include "scheduler/jobrecord.h"
 #include "scheduler/jobstore.h"
 #include "scheduler/reconciliation.h"
@@ -74,6 +75,7 @@
     // Section: workers
 
     Json::Value workers() const;
+    // Takes effect at once and is written to the store for later owners.
     absl::Status setDraining(const WorkerId &worker, bool isDraining);
 
     Json::Value state() const;
@@ -112,7 +114,6 @@
         TimePoint reportedAt = {};
         bool isReachable = false;
         bool isRenewing = false;
-        bool isDraining = false; // by an operator
     };
     // A gang between its first start and its release.
     struct GangStart
@@ -125,6 +126,8 @@
 
     // groupowner.cpp
     void load();
+    void loadDrains(const std::vector<JobRecord> &records);
+    void loadLater(const absl::Status &failure);
     void loaded(std::vector<JobRecord> records);
     void tick();
     void pumpSoon();
@@ -184,6 +187,8 @@
     placement::Planner m_planner;
     placement::Decision m_decision;
     std::shared_ptr<JobStore> m_store;
+    std::shared_ptr<DrainStore> m_drainStore;
+    std::set<WorkerId> m_draining; // by operators
     SharedSettings m_settings;
     std::map<JobId, JobEntry> m_jobs;
     std::unordered_map<TaskId, Task> m_tasks;
--- a/src/scheduler/groups.cpp
+++ b/src/scheduler/groups.cpp
@@ -29,6 +29,7 @@
 constexpr const char *showMethod = "job.show";
 constexpr const char *listMethod = "job.list";
 constexpr const char *explainMethod = "job.explain";
+constexpr const char *drainMethod = "worker.drain";
 
 TimePoint operatorsDeadline()
 {
@@ -49,7 +50,8 @@
     , m_instancesTimer(m_ports.control)
     , m_keptTimer(m_ports.control)
 {
-    for (const char *method : {submitMethod, cancelMethod, showMethod, listMethod, explainMethod})
+    for (const char *method :
+         {submitMethod, cancelMethod, showMethod, listMethod, explainMethod, drainMethod})
         addMethod(method);
 }
 
@@ -222,6 +224,8 @@
         callback(owner.show(job));
     else if (method == explainMethod)
         callback(owner.explain(job));
+    else if (method == drainMethod)
+        serveDrain(owner, parameters, callback);
     else
         callback(owner.list());
 }
@@ -285,14 +289,16 @@
                             TimePoint deadline, Callback callback)
 {
     if (next >= m_groups.size()) {
-        callback(makeError(Failure::UnknownJob, "no worker group knows the job",
-                           {.field = "jobId"}));
+        callback(makeError(Failure::NotReady, "the cell settings are not known yet",
+                           {.retryAfterMs = 500}));
         return;
     }
     const auto answered = [this, method, parameters, next, deadline,
                            callback = std::move(callback)](absl::StatusOr<Json::Value> answer) {
+        const Failure failure = failureOf(answer.status());
         const bool isElsewhere =
-                failureOf(answer.status()) == Failure::UnknownJob && next + 1 < m_groups.size();
+                (failure == Failure::UnknownJob || failure == Failure::UnknownWorker)
+                && next + 1 < m_groups.size();
         if (isElsewhere)
             callUntilKnown(method, parameters, next + 1, deadline, callback);
         else
@@ -387,17 +393,27 @@
     return answer;
 }
 
-absl::Status Groups::setDraining(const WorkerId &worker, bool isDraining)
+void Groups::setDraining(const WorkerId &worker, bool isDraining, Callback callback)
 {
-    for (const auto &[group, owner] : m_owners) {
-        const absl::Status status = owner->setDraining(worker, isDraining);
-        if (status.ok())
-            return status;
+    Json::Value parameters;
+    parameters["worker"] = worker.value();
+    parameters["draining"] = isDraining;
+    callUntilKnown(drainMethod, parameters, 0, operatorsDeadline(), std::move(callback));
+}
+
+void Groups::serveDrain(GroupOwner &owner, const Json::Value &parameters, const Callback &callback)
+{
+    if (!parameters.isObject() || !parameters["worker"].isString()
+        || !parameters["draining"].isBool()) {
+        callback(makeError(Failure::MissingField, "the call names no worker", {.field = "worker"}));
+        return;
     }
-    return makeError(
-            Failure::UnknownWorker,
-            absl::StrCat("worker \"", worker.value(), "\" is in no group that this process owns"),
-            {.field = "worker"});
+    const WorkerId worker(parameters["worker"].asString());
+    const absl::Status status = owner.setDraining(worker, parameters["draining"].asBool());
+    if (status.ok())
+        callback(parameters);
+    else
+        callback(status);
 }
 
 // With one group, all workers; otherwise the group is named after the data centre.
--- a/src/scheduler/groups.h
+++ b/src/scheduler/groups.h
@@ -59,7 +59,7 @@
     void explain(const JobId &job, Callback callback);
     void list(Callback callback);
     Json::Value workers() const; // of the groups that are owned here
-    absl::Status setDraining(const WorkerId &worker, bool isDraining);
+    void setDraining(const WorkerId &worker, bool isDraining, Callback callback);
 
     Json::Value state() const;
 
@@ -89,7 +89,9 @@
     void callOwner(const std::shared_ptr<OwnerCall> &call);
     void callOwnerOnce(const OwnerCall &call, Callback callback);
     void callOwnerLater(const std::shared_ptr<OwnerCall> &call, TimePoint at);
-    // Asks the owners one after the other until one knows the job.
+    static void serveDrain(GroupOwner &owner, const Json::Value &parameters,
+                           const Callback &callback);
+    // Asks the owners one after the other until one knows the job or the worker.
     void callUntilKnown(const std::string &method, const Json::Value &parameters, size_t next,
                         TimePoint deadline, Callback callback);
     void listFrom(size_t next, Json::Value jobs, TimePoint deadline, Callback callback);
--- a/src/scheduler/groupworkers.cpp
+++ b/src/scheduler/groupworkers.cpp
@@ -89,7 +89,8 @@
 void GroupOwner::updateDraining(const WorkerEntry &worker)
 {
     const bool isLeaving = worker.instance.state == platform::InstanceState::Leaving;
-    m_planner.setDraining(worker.number, worker.isDraining || isLeaving);
+    const bool isOrdered = m_draining.count(WorkerId(worker.instance.id.value())) > 0;
+    m_planner.setDraining(worker.number, isOrdered || isLeaving);
 }
 
 // The instance list no longer shows it, so nothing runs there.
@@ -321,12 +322,18 @@
 
 absl::Status GroupOwner::setDraining(const WorkerId &id, bool isDraining)
 {
+    if (const absl::Status status = checkLoaded(); !status.ok())
+        return status;
     const auto found = m_workers.find(id);
     if (found == m_workers.end())
         return makeError(Failure::UnknownWorker,
                          absl::StrCat("worker \"", id.value(), "\" is unknown"),
                          {.field = "worker"});
-    found->second.isDraining = isDraining;
+    if (isDraining)
+        m_draining.insert(id);
+    else
+        m_draining.erase(id);
+    m_drainStore->save(id, isDraining);
     updateDraining(found->second);
     pumpSoon();
     return absl::OkStatus();
--- a/src/scheduler/operatorsapi.cpp
+++ b/src/scheduler/operatorsapi.cpp
@@ -172,15 +172,9 @@
         return;
     }
     const std::string worker = rest.substr(0, slash);
-    const absl::Status status = m_groups.setDraining(WorkerId(worker), action == "drain");
-    if (!status.ok()) {
-        answer(respond, status);
-        return;
-    }
-    Json::Value value;
-    value["worker"] = worker;
-    value["draining"] = action == "drain";
-    answer(respond, value);
+    m_groups.setDraining(
+            WorkerId(worker), action == "drain",
+            [respond](const absl::StatusOr<Json::Value> &value) { answer(respond, value); });
 }
 
 // Section: settings
--- a/tests/scheduler/run_test.cpp
+++ b/tests/scheduler/run_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(cancelledJobStops);
     CPPUNIT_TEST(runningTasksSurviveTheirOwner);
     CPPUNIT_TEST(callsWaitForTheNextOwner);
+    CPPUNIT_TEST(drainOutlastsItsOwner);
     CPPUNIT_TEST(workerThatFailsEverythingIsQuarantined);
     CPPUNIT_TEST_SUITE_END();
 
@@ -87,6 +88,28 @@
         cell.checkJudgements(2);
     }
 
+    // Guards against a drain that only the owner accepts, and that is lost with it.
+    void drainOutlastsItsOwner()
+    {
+        Cell cell(3);
+        CPPUNIT_ASSERT_EQUAL(200, cell.submit(job("before", "batch", 1, 200)).status);
+        const std::string worker = cell.standins().instances.front()["id"].asString();
+        for (const Member &member : cell.deployment().schedulers()) {
+            const JsonAnswer answer =
+                    Cell::callTo(member, "POST", "/v1/workers/" + worker + "/drain");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(writeJson(answer.body), 200, answer.status);
+        }
+        const JsonAnswer unknown = cell.call("POST", "/v1/workers/none/drain");
+        CPPUNIT_ASSERT_EQUAL(404, unknown.status);
+        CPPUNIT_ASSERT(waitUntil(patience(), [&cell] { return storedDrains(cell) == 1; }));
+        killOwner(cell);
+        CPPUNIT_ASSERT(waitUntil(patience(), [&] { return isDraining(cell, worker); }));
+        const std::string undrain = "/v1/workers/" + worker + "/undrain";
+        CPPUNIT_ASSERT_EQUAL(200, cell.call("POST", undrain).status);
+        CPPUNIT_ASSERT(waitUntil(patience(), [&cell] { return storedDrains(cell) == 0; }));
+        CPPUNIT_ASSERT(!isDraining(cell, worker));
+    }
+
     // Guards against one broken worker that fails job after job.
     void workerThatFailsEverythingIsQuarantined()
     {
@@ -106,6 +129,33 @@
     }
 
 private:
+    static size_t storedDrains(const Cell &cell)
+    {
+        Json::Value read;
+        read["table"] = "drains";
+        read["prefix"] = "";
+        Json::Value body;
+        body["reads"].append(read);
+        const auto answer = postJson(cell.standins().platform, "/tables/read", body);
+        CPPUNIT_ASSERT(answer.ok() && answer->status == 200);
+        return answer->body["rows"][0].size();
+    }
+
+    // As the present owner shows it.
+    static bool isDraining(Cell &cell, const std::string &worker)
+    {
+        for (const Member &member : cell.deployment().schedulers()) {
+            if (!member.process)
+                continue;
+            const JsonAnswer answer = Cell::callTo(member, "GET", "/v1/workers");
+            for (const Json::Value &shown : answer.body["workers"]) {
+                if (shown["id"] == worker)
+                    return shown["draining"].asBool();
+            }
+        }
+        return false;
+    }
+
     static void killOwner(Cell &cell)
     {
         for (Member &member : cell.deployment().schedulers()) {
