--- a/src/scheduler/groupowner.h
+++ b/src/scheduler/groupowner.h
@@ -11,6 +11,7 @@
 #include "ownership/member.h"
 #include "placement/planner.h"
 #include "platform/platform.h"
+#include "scheduler/drainstore.h"
 #include "scheduler/jobrecord.h"
 #include "scheduler/jobstore.h"
 #include "scheduler/reconciliation.h"
@@ -61,14 +62,20 @@
     // Section: jobs. Answers are those of docs/design.md, section 9.4.
 
     void submit(const Json::Value &body, JsonCallback callback);
+    // A job that an earlier owner accepted and did not store, as a row of the table `jobs`. Its
+    // tasks may run. The answer is that of submit().
+    void submitKept(const Json::Value &row, JsonCallback callback);
+    // Rows of the jobs whose last change is not in the store.
+    std::vector<Json::Value> unstoredJobs() const;
     void cancel(const JobId &job, JsonCallback callback);
     absl::StatusOr<Json::Value> show(const JobId &job) const;
     absl::StatusOr<Json::Value> explain(const JobId &job) const;
-    Json::Value list() const;
+    absl::StatusOr<Json::Value> list() const;
 
     // Section: workers
 
     Json::Value workers() const;
+    // Takes effect at once and is written to the store for later owners.
     absl::Status setDraining(const WorkerId &worker, bool isDraining);
 
     Json::Value state() const;
@@ -107,7 +114,6 @@
         TimePoint reportedAt = {};
         bool isReachable = false;
         bool isRenewing = false;
-        bool isDraining = false; // by an operator
     };
     // A gang between its first start and its release.
     struct GangStart
@@ -120,16 +126,23 @@
 
     // groupowner.cpp
     void load();
+    void loadDrains(const std::vector<JobRecord> &records);
+    void loadLater(const absl::Status &failure);
     void loaded(std::vector<JobRecord> records);
     void tick();
     void pumpSoon();
     void pump();
     void finishReconciliation();
+    void finishLateJobs(TimePoint now);
+    void resumeJob(const JobId &job);
+    void restore(JobRecord record, bool isDurable);
     void resumeGang(const JobId &job);
     void answerSubmit(JobEntry &job, bool isNew, JsonCallback callback);
     void undoSubmit(const JobId &job);
     bool isValid() const;
-    absl::Status checkLoaded() const;
+    absl::Status checkLoaded() const; // the jobs, the workers and the settings
+    absl::Status checkJobsLoaded() const;
+    absl::Status stillLoading() const;
 
     // groupworkers.cpp
     void addWorker(const platform::Instance &instance);
@@ -174,11 +187,15 @@
     placement::Planner m_planner;
     placement::Decision m_decision;
     std::shared_ptr<JobStore> m_store;
+    std::shared_ptr<DrainStore> m_drainStore;
+    std::set<WorkerId> m_draining; // by operators
     SharedSettings m_settings;
     std::map<JobId, JobEntry> m_jobs;
     std::unordered_map<TaskId, Task> m_tasks;
     std::map<WorkerId, WorkerEntry> m_workers;
     std::map<JobId, GangStart> m_gangs;
+    // Jobs of an earlier owner that became known after the takeover: each waits on its own.
+    std::map<JobId, Reconciliation> m_lateJobs;
     std::vector<platform::Instance> m_listed; // until the jobs are loaded
     std::function<void()> m_released;
     boost::asio::steady_timer m_tickTimer;
--- a/src/scheduler/groups.cpp
+++ b/src/scheduler/groups.cpp
@@ -18,12 +18,23 @@
 
 constexpr auto instancesInterval = std::chrono::milliseconds(1000);
 constexpr Duration instancesDeadline = seconds(3);
-constexpr Duration callDeadline = seconds(5);
+constexpr Duration callDeadline = seconds(5); // of one try
+// An operator waits 10 s; the rest is for the way of the answer.
+constexpr Duration operatorsPatience = milliseconds(9500);
+constexpr auto keptInterval = std::chrono::seconds(1); // between two rounds of submissions
+constexpr size_t maxKeptCalls = 32;                    // of one round
+constexpr const char *keptRow = "keptRow"; // of job.submit between schedulers, not of operators
 constexpr const char *submitMethod = "job.submit";
 constexpr const char *cancelMethod = "job.cancel";
 constexpr const char *showMethod = "job.show";
 constexpr const char *listMethod = "job.list";
 constexpr const char *explainMethod = "job.explain";
+constexpr const char *drainMethod = "worker.drain";
+
+TimePoint operatorsDeadline()
+{
+    return BootClock::now() + operatorsPatience;
+}
 
 Json::Value jobParameters(const JobId &job)
 {
@@ -37,8 +48,10 @@
 Groups::Groups(Ports ports)
     : m_ports(std::move(ports))
     , m_instancesTimer(m_ports.control)
+    , m_keptTimer(m_ports.control)
 {
-    for (const char *method : {submitMethod, cancelMethod, showMethod, listMethod, explainMethod})
+    for (const char *method :
+         {submitMethod, cancelMethod, showMethod, listMethod, explainMethod, drainMethod})
         addMethod(method);
 }
 
@@ -73,6 +86,7 @@
 void Groups::start()
 {
     readInstances();
+    submitKeptLater();
 }
 
 void Groups::setSettings(const SharedSettings &settings)
@@ -105,6 +119,7 @@
     if (found == m_owners.end())
         return;
     log::info("group_lost", {{"group", group.value()}});
+    keepJobs(group, *found->second);
     found->second->close();
     m_owners.erase(found);
 }
@@ -122,6 +137,68 @@
     });
 }
 
+// Section: jobs of lost groups
+
+void Groups::keepJobs(const GroupId &group, const GroupOwner &owner)
+{
+    for (Json::Value &row : owner.unstoredJobs()) {
+        const JobId job(row["job"]["jobId"].asString());
+        log::info("job_kept", {{"group", group.value()}, {"job", job.value()}});
+        m_kept[{group, job}] = {.row = std::move(row), .number = ++m_keptNumber};
+    }
+}
+
+void Groups::submitKept()
+{
+    size_t underWay = 0;
+    for (auto &[key, kept] : m_kept) {
+        if (kept.isUnderWay || underWay == maxKeptCalls)
+            continue;
+        ++underWay;
+        kept.isUnderWay = true;
+        Json::Value parameters;
+        parameters[keptRow] = kept.row;
+        const OwnerCall call{submitMethod,
+                             key.first,
+                             parameters,
+                             OwnerRetry(BootClock::now() + callDeadline),
+                             {}};
+        callOwnerOnce(
+                call,
+                [this, key = key, number = kept.number](const absl::StatusOr<Json::Value> &answer) {
+                    // Not at once: an answer of this process's own group may come during the loop
+                    // above.
+                    asio::post(m_ports.control,
+                               [this, key, number, answer] { keptAnswered(key, number, answer); });
+                });
+    }
+    submitKeptLater();
+}
+
+void Groups::keptAnswered(const std::pair<GroupId, JobId> &job, uint64_t number,
+                          const absl::StatusOr<Json::Value> &answer)
+{
+    const auto kept = m_kept.find(job);
+    if (kept == m_kept.end() || kept->second.number != number)
+        return;
+    kept->second.isUnderWay = false;
+    const bool isDurable = answer.ok() && (*answer)["durable"].asBool();
+    const bool isRefused = !answer.ok() && failureOf(answer.status()) == Failure::JobConflict;
+    if (isRefused)
+        log::error("kept_job_refused", {{"job", job.second.value()}, {"error", answer.status()}});
+    if (isDurable || isRefused)
+        m_kept.erase(kept);
+}
+
+void Groups::submitKeptLater()
+{
+    m_keptTimer.expires_after(keptInterval);
+    m_keptTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            submitKept();
+    });
+}
+
 // Section: calls to the owner
 
 void Groups::serve(const std::string &method, const GroupId &group, const Json::Value &parameters,
@@ -137,7 +214,9 @@
     }
     GroupOwner &owner = *found->second;
     const JobId job(parameters.isObject() ? parameters.get("jobId", "").asString() : "");
-    if (method == submitMethod)
+    if (method == submitMethod && parameters.isObject() && parameters.isMember(keptRow))
+        owner.submitKept(parameters[keptRow], std::move(callback));
+    else if (method == submitMethod)
         owner.submit(parameters, std::move(callback));
     else if (method == cancelMethod)
         owner.cancel(job, std::move(callback));
@@ -145,29 +224,57 @@
         callback(owner.show(job));
     else if (method == explainMethod)
         callback(owner.explain(job));
+    else if (method == drainMethod)
+        serveDrain(owner, parameters, callback);
     else
         callback(owner.list());
 }
 
-void Groups::callOwner(const std::string &method, const GroupId &group,
-                       const Json::Value &parameters, Callback callback)
+// The operator's calls are idempotent, so a try of unknown outcome is repeated as well.
+void Groups::callOwner(const std::shared_ptr<OwnerCall> &call)
+{
+    callOwnerOnce(*call, [this, call](absl::StatusOr<Json::Value> answer) {
+        if (answer.ok() || !OwnerRetry::isRepeated(answer.status())) {
+            call->callback(std::move(answer));
+            return;
+        }
+        const auto next = call->retry.nextTry(answer.status(), BootClock::now());
+        if (next)
+            callOwnerLater(call, *next);
+        else
+            call->callback(call->retry.finalError(call->group));
+    });
+}
+
+void Groups::callOwnerLater(const std::shared_ptr<OwnerCall> &call, TimePoint at)
+{
+    const auto timer = std::make_shared<asio::steady_timer>(m_ports.control, at - BootClock::now());
+    timer->async_wait([this, call, timer](const boost::system::error_code &error) {
+        if (!error)
+            callOwner(call);
+    });
+}
+
+void Groups::callOwnerOnce(const OwnerCall &call, Callback callback)
 {
-    if (m_owners.count(group) > 0 && m_ports.member()->owns(group)) {
-        serve(method, group, parameters, std::move(callback));
+    const ownership::Member &member = *m_ports.member();
+    if (m_owners.count(call.group) > 0 && member.owns(call.group)) {
+        serve(call.method, call.group, call.parameters, std::move(callback));
         return;
     }
-    const auto owner = m_ports.member()->ownerOf(group);
-    if (!owner || owner->id == m_ports.member()->self().id) {
+    const auto owner = member.ownerOf(call.group);
+    if (!owner || owner->id == member.self().id) {
         callback(makeError(Failure::NoOwner,
-                           absl::StrCat(group.value(), " has no owner at the moment"),
+                           absl::StrCat(call.group.value(), " has no owner at the moment"),
                            {.retryAfterMs = 1000}));
         return;
     }
     rpc::Message message;
-    message.content["group"] = group.value();
-    message.content["parameters"] = parameters;
+    message.content["group"] = call.group.value();
+    message.content["parameters"] = call.parameters;
     m_ports.rpcClient.call(
-            owner->rpcAddress, method, std::move(message), BootClock::now() + callDeadline,
+            owner->rpcAddress, call.method, std::move(message),
+            std::min(BootClock::now() + callDeadline, call.retry.deadline()),
             [this, callback = std::move(callback)](absl::StatusOr<rpc::Message> answer) {
                 asio::post(m_ports.control, [callback, answer = std::move(answer)] {
                     if (answer.ok())
@@ -179,23 +286,26 @@
 }
 
 void Groups::callUntilKnown(const std::string &method, const Json::Value &parameters, size_t next,
-                            Callback callback)
+                            TimePoint deadline, Callback callback)
 {
     if (next >= m_groups.size()) {
-        callback(makeError(Failure::UnknownJob, "no worker group knows the job",
-                           {.field = "jobId"}));
+        callback(makeError(Failure::NotReady, "the cell settings are not known yet",
+                           {.retryAfterMs = 500}));
         return;
     }
-    callOwner(method, m_groups[next], parameters,
-              [this, method, parameters, next,
-               callback = std::move(callback)](absl::StatusOr<Json::Value> answer) {
-                  const bool isElsewhere = failureOf(answer.status()) == Failure::UnknownJob
-                          && next + 1 < m_groups.size();
-                  if (isElsewhere)
-                      callUntilKnown(method, parameters, next + 1, callback);
-                  else
-                      callback(std::move(answer));
-              });
+    const auto answered = [this, method, parameters, next, deadline,
+                           callback = std::move(callback)](absl::StatusOr<Json::Value> answer) {
+        const Failure failure = failureOf(answer.status());
+        const bool isElsewhere =
+                (failure == Failure::UnknownJob || failure == Failure::UnknownWorker)
+                && next + 1 < m_groups.size();
+        if (isElsewhere)
+            callUntilKnown(method, parameters, next + 1, deadline, callback);
+        else
+            callback(std::move(answer));
+    };
+    callOwner(std::make_shared<OwnerCall>(
+            OwnerCall{method, m_groups[next], parameters, OwnerRetry(deadline), answered}));
 }
 
 absl::StatusOr<GroupId> Groups::groupForJob(const Json::Value &body) const
@@ -220,32 +330,33 @@
 {
     const auto group = groupForJob(body);
     if (group.ok())
-        callOwner(submitMethod, *group, body, std::move(callback));
+        callOwner(std::make_shared<OwnerCall>(OwnerCall{
+                submitMethod, *group, body, OwnerRetry(operatorsDeadline()), std::move(callback)}));
     else
         callback(group.status());
 }
 
 void Groups::cancel(const JobId &job, Callback callback)
 {
-    callUntilKnown(cancelMethod, jobParameters(job), 0, std::move(callback));
+    callUntilKnown(cancelMethod, jobParameters(job), 0, operatorsDeadline(), std::move(callback));
 }
 
 void Groups::show(const JobId &job, Callback callback)
 {
-    callUntilKnown(showMethod, jobParameters(job), 0, std::move(callback));
+    callUntilKnown(showMethod, jobParameters(job), 0, operatorsDeadline(), std::move(callback));
 }
 
 void Groups::explain(const JobId &job, Callback callback)
 {
-    callUntilKnown(explainMethod, jobParameters(job), 0, std::move(callback));
+    callUntilKnown(explainMethod, jobParameters(job), 0, operatorsDeadline(), std::move(callback));
 }
 
 void Groups::list(Callback callback)
 {
-    listFrom(0, Json::Value(Json::arrayValue), std::move(callback));
+    listFrom(0, Json::Value(Json::arrayValue), operatorsDeadline(), std::move(callback));
 }
 
-void Groups::listFrom(size_t next, Json::Value jobs, Callback callback)
+void Groups::listFrom(size_t next, Json::Value jobs, TimePoint deadline, Callback callback)
 {
     if (next >= m_groups.size()) {
         Json::Value answer;
@@ -253,17 +364,20 @@
         callback(std::move(answer));
         return;
     }
-    callOwner(listMethod, m_groups[next], Json::Value(Json::objectValue),
-              [this, next, jobs = std::move(jobs),
-               callback = std::move(callback)](absl::StatusOr<Json::Value> answer) mutable {
-                  if (!answer.ok()) {
-                      callback(answer.status());
-                      return;
-                  }
-                  for (const Json::Value &job : *answer)
-                      jobs.append(job);
-                  listFrom(next + 1, std::move(jobs), std::move(callback));
-              });
+    const auto answered = [this, next, deadline, jobs = std::move(jobs),
+                           callback = std::move(callback)](absl::StatusOr<Json::Value> answer) {
+        if (!answer.ok()) {
+            callback(answer.status());
+            return;
+        }
+        Json::Value all = jobs;
+        for (const Json::Value &job : *answer)
+            all.append(job);
+        listFrom(next + 1, std::move(all), deadline, callback);
+    };
+    callOwner(std::make_shared<OwnerCall>(OwnerCall{listMethod, m_groups[next],
+                                                    Json::Value(Json::objectValue),
+                                                    OwnerRetry(deadline), answered}));
 }
 
 // Section: workers
@@ -279,17 +393,27 @@
     return answer;
 }
 
-absl::Status Groups::setDraining(const WorkerId &worker, bool isDraining)
+void Groups::setDraining(const WorkerId &worker, bool isDraining, Callback callback)
 {
-    for (const auto &[group, owner] : m_owners) {
-        const absl::Status status = owner->setDraining(worker, isDraining);
-        if (status.ok())
-            return status;
+    Json::Value parameters;
+    parameters["worker"] = worker.value();
+    parameters["draining"] = isDraining;
+    callUntilKnown(drainMethod, parameters, 0, operatorsDeadline(), std::move(callback));
+}
+
+void Groups::serveDrain(GroupOwner &owner, const Json::Value &parameters, const Callback &callback)
+{
+    if (!parameters.isObject() || !parameters["worker"].isString()
+        || !parameters["draining"].isBool()) {
+        callback(makeError(Failure::MissingField, "the call names no worker", {.field = "worker"}));
+        return;
     }
-    return makeError(
-            Failure::UnknownWorker,
-            absl::StrCat("worker \"", worker.value(), "\" is in no group that this process owns"),
-            {.field = "worker"});
+    const WorkerId worker(parameters["worker"].asString());
+    const absl::Status status = owner.setDraining(worker, parameters["draining"].asBool());
+    if (status.ok())
+        callback(parameters);
+    else
+        callback(status);
 }
 
 // With one group, all workers; otherwise the group is named after the data centre.
