Answer ids unknown up to 4 s after a takeover

Cause: one maxClockSkew covered a caller against an owner and an owner against its successor. An earlier owner whose clock is ahead accepts ids up to twice that time ahead of its successor, which then ran them again or refused them as id_from_future (not-run).

Ruled out: waiting before the group is used after a takeover; ids keep their time, so the answer would be the same, only later.

Change: an id that is not remembered is unknown up to the takeover time plus twice maxClockSkew, and ids from the future are unknown for as long after a takeover. The first owner of a group is not affected.

Conclusion: holds for clocks within 2 s of each other; costs unknown for ids made up to 4 s after a takeover instead of 2 s.

--- a/src/requests/idmemory.cpp
+++ b/src/requests/idmemory.cpp
@@ -108,15 +108,24 @@
     }
 }
 
+// True until the last moment, by this owner's clock, that an earlier owner may have reached.
+bool IdMemory::mayPredate(UnixMilliseconds time) const
+{
+    const std::optional<UnixMilliseconds> takeover = m_options.takeover;
+    return takeover && time.value() <= takeover->value() + inMilliseconds(maxPredecessorLead);
+}
+
 std::optional<Outcome> IdMemory::refusal(const ParsedRequestId &id, UnixMilliseconds now) const
 {
-    if (id.time.value() - now.value() > inMilliseconds(maxClockSkew))
-        return idFromFuture(id, now);
     if (isOld(id.time))
         return idPredatesOwner(id, "is older than the memory of ids");
-    const std::optional<UnixMilliseconds> takeover = m_options.takeover;
-    if (takeover && id.time.value() <= takeover->value() + inMilliseconds(maxClockSkew))
-        return idPredatesOwner(id, "was made before this owner took over");
+    if (mayPredate(id.time))
+        return idPredatesOwner(id, "may have been made before this owner took over");
+    if (id.time.value() - now.value() > inMilliseconds(maxClockSkew)) {
+        if (mayPredate(now))
+            return idPredatesOwner(id, "is from the future and this owner took over just now");
+        return idFromFuture(id, now);
+    }
     if (m_records.size() >= m_options.maxIds)
         return memoryFull(m_options.maxIds);
     return std::nullopt;
--- a/src/requests/idmemory.h
+++ b/src/requests/idmemory.h
@@ -17,7 +17,10 @@
 using Ticket = uint64_t; // names one accepted request within its endpoint group
 
 constexpr Duration idMemory = std::chrono::minutes(10); // an id is remembered until it is this old
-constexpr Duration maxClockSkew = seconds(2); // largest lead of a caller's clock that is accepted
+constexpr Duration maxClockSkew = seconds(2); // between a caller and an owner, or two owners
+// An earlier owner whose clock is ahead by maxClockSkew accepts ids of callers whose clocks are
+// ahead of it by as much again.
+constexpr Duration maxPredecessorLead = 2 * maxClockSkew;
 
 struct IdMemoryOptions
 {
@@ -70,6 +73,7 @@
 
     void forgetOld();
     bool isOld(UnixMilliseconds time) const;
+    bool mayPredate(UnixMilliseconds time) const;
     std::optional<Outcome> refusal(const ParsedRequestId &id, UnixMilliseconds now) const;
 
     IdMemoryOptions m_options;
