Drop slow tries of idempotent requests and retry them

Cause: a connection or endpoint that went silent held an idempotent request until its deadline, although other connections worked, and the caller got unknown (timeout).

Ruled out: a fixed time limit per try that always ends the try. When a service becomes slower and the retry budget is spent, every request would end as unknown; so a try is dropped only once its retry is granted and a slot is free.

Change: EndpointGroup::takeGiveUps() names the tries past their limit (three high estimates of the method's time, at least 500 ms, at most half of the remaining time). http::Client::giveUp() ends such a request, closes its connection and the idle ones. The slot counts as used as for any lost request. Non-idempotent requests are never dropped.

--- a/src/entry/endpointlink.cpp
+++ b/src/entry/endpointlink.cpp
@@ -75,14 +75,14 @@
 {
 }
 
-void EndpointLink::send(const ExecuteRequest &request, TimePoint deadline, http::SendGuard guard,
-                        SendCallback callback)
+uint64_t EndpointLink::send(const ExecuteRequest &request, TimePoint deadline,
+                            http::SendGuard guard, SendCallback callback)
 {
     http::Request message{.method = "POST", .path = "/" + request.method, .body = request.body};
     message.headers.set("Request-Id", request.id.id.value());
     if (!request.contentType.empty())
         message.headers.set("Content-Type", request.contentType);
-    m_client->send(
+    return m_client->send(
             std::move(message), deadline,
             [callback = std::move(callback)](absl::StatusOr<http::Response> response) {
                 callback(endOf(std::move(response)));
--- a/src/entry/endpointlink.h
+++ b/src/entry/endpointlink.h
@@ -12,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -43,9 +44,13 @@
     const std::string &address() const { return m_address; }
 
     // Callbacks run on a thread of the io_context. `guard` is asked right before the request is
-    // written.
-    void send(const ExecuteRequest &request, TimePoint deadline, http::SendGuard guard,
-              SendCallback callback);
+    // written. Returns the number of the send, for giveUp().
+    uint64_t send(const ExecuteRequest &request, TimePoint deadline, http::SendGuard guard,
+                  SendCallback callback);
+
+    // Ends a send as its deadline would, and drops its connection.
+    void giveUp(uint64_t send) { m_client->giveUp(send); }
+
     void askStatus(StatusCallback callback);
 
 private:
--- a/src/entry/ownedgroup.cpp
+++ b/src/entry/ownedgroup.cpp
@@ -65,7 +65,7 @@
         m_waiting.at(admission.ticket).repeats.push_back({request.deadline, std::move(callback)});
         return;
     }
-    m_waiting[admission.ticket] = {std::move(request), std::move(callback), {}};
+    m_waiting[admission.ticket] = {std::move(request), std::move(callback), {}, 0};
     pump();
 }
 
@@ -96,7 +96,17 @@
                                                     "the endpoint's address is invalid"))});
         return;
     }
-    found->second.link->send(m_waiting.at(send.ticket).request, send.deadline, guard, ended);
+    Waiting &waiting = m_waiting.at(send.ticket);
+    waiting.send = found->second.link->send(waiting.request, send.deadline, guard, ended);
+}
+
+void OwnedGroup::giveUpSlowTries()
+{
+    for (const requests::GiveUp &one : m_group.takeGiveUps(BootClock::now())) {
+        const auto found = m_endpoints.find(one.endpoint);
+        if (found != m_endpoints.end())
+            found->second.link->giveUp(m_waiting.at(one.ticket).send);
+    }
 }
 
 void OwnedGroup::sendEnded(requests::Ticket ticket, SendEnd end)
@@ -174,6 +184,7 @@
             askStatus(id, endpoint);
     }
     expireRepeats();
+    giveUpSlowTries();
     pump();
 }
 
--- a/src/entry/ownedgroup.h
+++ b/src/entry/ownedgroup.h
@@ -76,6 +76,7 @@
         ExecuteRequest request;
         ExecuteCallback callback;
         std::vector<Repeat> repeats; // of the same id
+        uint64_t send = 0;           // number of the last send at its endpoint's link
     };
     struct Endpoint
     {
@@ -87,6 +88,7 @@
     void pump();
     void send(const requests::Send &send);
     void sendEnded(requests::Ticket ticket, SendEnd end);
+    void giveUpSlowTries();
     void settle();
     void expireRepeats();
     void updateLinks();
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -43,7 +43,8 @@
     {
     }
 
-    void send(Request request, TimePoint deadline, ResponseCallback callback, SendGuard guard);
+    uint64_t send(Request request, TimePoint deadline, ResponseCallback callback, SendGuard guard);
+    void giveUp(uint64_t request);
     void closeAll();
     void shutDown();
     size_t openConnections() const { return m_open; }
@@ -56,6 +57,8 @@
     void serveQueue();
     LinkPointer takeIdleLink();
     void onDeadline(const ExchangePointer &exchange);
+    ExchangePointer findExchange(uint64_t id) const;
+    void closeIdle();
     void connect();
     void onConnected(const LinkPointer &link, error_code error);
     void assign(const LinkPointer &link, const ExchangePointer &exchange);
@@ -75,24 +78,52 @@
     std::vector<LinkPointer> m_idle; // the last one used comes last
     bool m_isDown = false;
     std::atomic<size_t> m_open = 0;
+    std::atomic<uint64_t> m_lastId = 0; // any thread
 };
 
 // Section: requests and their queue
 
-void Client::Implementation::send(Request request, TimePoint deadline, ResponseCallback callback,
-                                  SendGuard guard)
+uint64_t Client::Implementation::send(Request request, TimePoint deadline,
+                                      ResponseCallback callback, SendGuard guard)
 {
+    const uint64_t id = ++m_lastId;
     std::optional<BeastRequest> message = toBeast(std::move(request), m_options.address);
     if (!message) {
         asio::post(m_strand, [callback = std::move(callback)] {
             callback(makeError(Failure::ProtocolError,
                                "the request has a method, path or header that HTTP cannot carry"));
         });
-        return;
+        return id;
     }
     auto exchange = std::make_shared<Exchange>(m_strand, *std::move(message), deadline,
                                                std::move(callback), std::move(guard));
+    exchange->id = id;
     asio::post(m_strand, [self = shared_from_this(), exchange] { self->enqueue(exchange); });
+    return id;
+}
+
+void Client::Implementation::giveUp(uint64_t request)
+{
+    asio::post(m_strand, [self = shared_from_this(), request] {
+        const ExchangePointer exchange = self->findExchange(request);
+        if (!exchange)
+            return;
+        self->closeIdle();
+        self->onDeadline(exchange);
+    });
+}
+
+Client::Implementation::ExchangePointer Client::Implementation::findExchange(uint64_t id) const
+{
+    for (const LinkPointer &link : m_links) {
+        if (link->exchange && link->exchange->id == id)
+            return link->exchange;
+    }
+    for (const ExchangePointer &exchange : m_waiting) {
+        if (exchange->id == id)
+            return exchange;
+    }
+    return nullptr;
 }
 
 void Client::Implementation::enqueue(const ExchangePointer &exchange)
@@ -348,11 +379,16 @@
 
 // Section: closing
 
+void Client::Implementation::closeIdle()
+{
+    for (const LinkPointer &link : std::exchange(m_idle, {}))
+        close(link);
+}
+
 void Client::Implementation::closeAll()
 {
     asio::post(m_strand, [self = shared_from_this()] {
-        for (const LinkPointer &link : std::exchange(self->m_idle, {}))
-            self->close(link);
+        self->closeIdle();
         for (const LinkPointer &link : self->m_links) {
             if (link->state == LinkState::Busy)
                 link->closesAfterAnswer = true;
@@ -400,9 +436,16 @@
     m_implementation->shutDown();
 }
 
-void Client::send(Request request, TimePoint deadline, ResponseCallback callback, SendGuard guard)
+uint64_t Client::send(Request request, TimePoint deadline, ResponseCallback callback,
+                      SendGuard guard)
+{
+    return m_implementation->send(std::move(request), deadline, std::move(callback),
+                                  std::move(guard));
+}
+
+void Client::giveUp(uint64_t request)
 {
-    m_implementation->send(std::move(request), deadline, std::move(callback), std::move(guard));
+    m_implementation->giveUp(request);
 }
 
 size_t Client::openConnections() const
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -45,7 +46,14 @@
 
     // Sends `request`; calls `callback` exactly once on a thread of the io_context, at `deadline`
     // at the latest. Nothing is retried.
-    void send(Request request, TimePoint deadline, ResponseCallback callback, SendGuard guard = {});
+    // Returns the number of the request, for giveUp().
+    uint64_t send(Request request, TimePoint deadline, ResponseCallback callback,
+                  SendGuard guard = {});
+
+    // Ends a request under way as its deadline would. Also closes the idle connections, because
+    // they may have gone silent with the one that the request used. Does nothing if the request has
+    // ended.
+    void giveUp(uint64_t request);
 
     size_t openConnections() const;
 
--- a/src/http/link.h
+++ b/src/http/link.h
@@ -37,6 +37,7 @@
     {
     }
 
+    uint64_t id = 0; // within its client
     BeastRequest request;
     TimePoint deadline;
     ResponseCallback callback; // empty once called
--- a/src/requests/endpointgroup.cpp
+++ b/src/requests/endpointgroup.cpp
@@ -10,7 +10,11 @@
 
 namespace {
 
-constexpr int64_t maxAttempts = 3;          // of one request
+constexpr int64_t maxAttempts = 3;                  // of one request
+constexpr int64_t observationsForLimit = 5;         // of a method, before they limit its tries
+constexpr int64_t tryLimitFactor = 3;               // of the high estimate: slower is rather silent
+constexpr Duration minTryLimit = milliseconds(500); // a pause of an endpoint is no silence
+constexpr Duration tryCheckInterval = milliseconds(100); // while no retry can be had
 constexpr int64_t minRetryAfterMs = 50;     // a refusal never invites an immediate repeat
 constexpr int64_t maxRetryAfterMs = 5000;   // estimates beyond it are too uncertain
 constexpr int64_t noEndpointRetryMs = 1000; // the instance list is read every second
@@ -188,11 +192,49 @@
         ++request.attempts;
         ++m_inUse[static_cast<size_t>(submission.urgency)];
         ++m_counters.sends;
+        if (submission.isIdempotent && request.attempts < maxAttempts) {
+            request.checkTryAt = tryLimit(submission, now);
+            m_tryLimits.emplace(request.checkTryAt, ticket);
+        }
         sends.push_back({ticket, endpoint, submission.deadline});
     }
     return sends;
 }
 
+TimePoint EndpointGroup::tryLimit(const Submission &submission, TimePoint now) const
+{
+    const Duration half = (submission.deadline - now) / 2;
+    const auto found = m_methodTimes.find(submission.method);
+    if (found == m_methodTimes.end() || found->second.count() < observationsForLimit)
+        return now + half;
+    const Duration usual = tryLimitFactor * found->second.lastHighEstimate();
+    return now + std::min(half, std::max(usual, minTryLimit));
+}
+
+// A try is dropped only if the retry can follow at once: without budget or a free slot, its own
+// response is the best hope.
+std::vector<GiveUp> EndpointGroup::takeGiveUps(TimePoint now)
+{
+    std::vector<GiveUp> all;
+    int64_t free = m_pool.freeSlots(now) - m_queues.queued();
+    while (!m_tryLimits.empty() && m_tryLimits.begin()->first <= now) {
+        const Ticket ticket = m_tryLimits.begin()->second;
+        m_tryLimits.erase(m_tryLimits.begin());
+        Request &request = m_requests.at(ticket);
+        if (free > 0 && mayRetry(request, SendResult::MayHaveRun, now)) {
+            --free;
+            request.hasRetryTaken = true;
+            ++m_counters.givenUp;
+            all.push_back({ticket, *request.endpoint});
+            continue;
+        }
+        request.checkTryAt = now + tryCheckInterval;
+        if (request.checkTryAt < request.submission.deadline)
+            m_tryLimits.emplace(request.checkTryAt, ticket);
+    }
+    return all;
+}
+
 void EndpointGroup::expire(TimePoint now)
 {
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
@@ -213,6 +255,8 @@
     m_pool.finished(*request.endpoint, result, elapsed, now);
     --m_inUse[static_cast<size_t>(request.submission.urgency)];
     request.lastEndpoint = std::exchange(request.endpoint, std::nullopt);
+    m_tryLimits.erase({request.checkTryAt, ticket});
+    const bool hasRetryTaken = std::exchange(request.hasRetryTaken, false);
     if (result == SendResult::Answered || result == SendResult::AnsweredError) {
         m_groupTime.add(elapsed, now);
         m_methodTimes[request.submission.method].add(elapsed, now);
@@ -220,7 +264,7 @@
         return;
     }
     request.mayHaveRun = request.mayHaveRun || result == SendResult::MayHaveRun;
-    if (mayRetry(request, result, now)) {
+    if ((hasRetryTaken && now < request.submission.deadline) || mayRetry(request, result, now)) {
         requeue(ticket, request);
         return;
     }
@@ -292,6 +336,7 @@
         settleUnsent(ticket, reason);
     }
     m_deadlines.clear();
+    m_tryLimits.clear();
     m_isReleasing = true;
 }
 
@@ -322,6 +367,7 @@
     state["refused"] = Json::Int64(m_counters.refused);
     state["sends"] = Json::Int64(m_counters.sends);
     state["retries"] = Json::Int64(m_counters.retries);
+    state["givenUp"] = Json::Int64(m_counters.givenUp);
     state["answered"] = Json::Int64(m_counters.answered);
     state["notRun"] = Json::Int64(m_counters.notRun);
     state["unknown"] = Json::Int64(m_counters.unknown);
--- a/src/requests/endpointgroup.h
+++ b/src/requests/endpointgroup.h
@@ -65,6 +65,14 @@
     TimePoint deadline = {};
 };
 
+// A try that takes too long and is to be dropped, because a retry of it has been granted. It is
+// ended by finished() like any other; its response still counts if it comes first.
+struct GiveUp
+{
+    Ticket ticket = 0;
+    EndpointId endpoint;
+};
+
 // One request that ended. Each accepted ticket appears exactly once.
 struct Settlement
 {
@@ -79,6 +87,7 @@
     int64_t refused = 0; // settled without being accepted
     int64_t sends = 0;
     int64_t retries = 0;
+    int64_t givenUp = 0; // tries dropped at their limit
     int64_t answered = 0;
     int64_t notRun = 0;
     int64_t unknown = 0;
@@ -113,6 +122,11 @@
     // The sends to perform now. Each must be ended by finished().
     std::vector<Send> dispatch(TimePoint now);
 
+    // The tries to drop now: of idempotent requests, past the limit of the try (three high
+    // estimates of the method's service time, at least 500 ms, at most half of the remaining time),
+    // while a slot is free for the retry. Each is returned once.
+    std::vector<GiveUp> takeGiveUps(TimePoint now);
+
     std::vector<Settlement> takeSettled();
 
     // Section: what the group shows
@@ -136,13 +150,16 @@
         std::optional<EndpointId> lastEndpoint = {}; // a retry avoids it
         TimePoint sentAt = {};
         int64_t attempts = 0;
-        bool mayHaveRun = false; // an earlier attempt may have run
+        bool mayHaveRun = false;    // an earlier attempt may have run
+        bool hasRetryTaken = false; // from the budget, for when the current attempt is dropped
+        TimePoint checkTryAt = {};  // key in m_tryLimits, if it has an entry there
     };
 
     std::optional<Outcome> refusal(const Submission &submission, TimePoint now);
     Duration expectedWait(UrgencyClass urgency, TimePoint now);
     Duration expectedService(const std::string &method, TimePoint now) const;
     void expire(TimePoint now);
+    TimePoint tryLimit(const Submission &submission, TimePoint now) const;
     bool mayRetry(const Request &request, SendResult result, TimePoint now);
     void requeue(Ticket ticket, Request &request);
     void settle(Ticket ticket, Outcome outcome);
@@ -160,6 +177,7 @@
     Ticket m_nextTicket = 1;
     std::map<Ticket, Request> m_requests;               // queued or under way
     std::set<std::pair<TimePoint, Ticket>> m_deadlines; // of queued requests
+    std::set<std::pair<TimePoint, Ticket>> m_tryLimits; // of tries that may be dropped
     std::vector<Settlement> m_settled;
     GroupCounters m_counters;
 };
--- a/src/requests/servicetime.cpp
+++ b/src/requests/servicetime.cpp
@@ -28,7 +28,12 @@
 
 Duration ServiceTime::highEstimate(TimePoint now) const
 {
-    return faded(m_average + highDeviations * m_deviation, now);
+    return faded(lastHighEstimate(), now);
+}
+
+Duration ServiceTime::lastHighEstimate() const
+{
+    return m_average + highDeviations * m_deviation;
 }
 
 Duration ServiceTime::faded(Duration value, TimePoint now) const
--- a/src/requests/servicetime.h
+++ b/src/requests/servicetime.h
@@ -21,6 +21,9 @@
     // A time that few requests exceed: the average and three mean deviations. Fades likewise.
     Duration highEstimate(TimePoint now) const;
 
+    // The same without fading, for decisions about requests that were sent already.
+    Duration lastHighEstimate() const;
+
     int64_t count() const { return m_count; } // observations so far
 
 private:
--- a/tests/entry/executor_test.cpp
+++ b/tests/entry/executor_test.cpp
@@ -79,6 +79,7 @@
     std::atomic<int64_t> mostActive = 0;
     std::atomic<int64_t> runs = 0;
     std::atomic<int64_t> statusAsked = 0;
+    std::atomic<int64_t> unanswered = 0; // requests kept without an answer
 
 private:
     void handle(const http::Request &request, const http::Responder &respond)
@@ -105,10 +106,12 @@
         const auto timer = std::make_shared<asio::steady_timer>(m_context, milliseconds(serviceMs));
         timer->async_wait([this, timer, request, respond](const boost::system::error_code &) {
             --active;
-            if (isSilent)
+            if (isSilent) {
                 m_unanswered.push_back(respond);
-            else
-                respond({.body = request.path + request.body});
+                ++unanswered;
+                return;
+            }
+            respond({.body = request.path + request.body});
         });
     }
 
@@ -125,6 +128,8 @@
     CPPUNIT_TEST(eachCallerGetsItsOwnResponse);
     CPPUNIT_TEST(slotsHoldUnderLoad);
     CPPUNIT_TEST(lostResponseIsUnknownAndRunsOnce);
+    CPPUNIT_TEST(silentEndpointHoldsNoIdempotentRequest);
+    CPPUNIT_TEST(silentConnectionIsReplacedByANewOne);
     CPPUNIT_TEST(repeatWaitsForTheFirstNoLongerThanItsDeadline);
     CPPUNIT_TEST(leavingEndpointGetsNothingNew);
     CPPUNIT_TEST(unreachableEndpointIsNotRun);
@@ -219,6 +224,41 @@
         CPPUNIT_ASSERT_EQUAL(int64_t(1), m_endpoint->runsOf(id));
     }
 
+    // Guards against an idempotent request that waits for its deadline at a silent endpoint while
+    // another endpoint is free, and against a second run of one that is not idempotent.
+    void silentEndpointHoldsNoIdempotentRequest()
+    {
+        Endpoint other(m_endpointContext);
+        m_executor->setEndpoints({{ServiceId("draw"),
+                                   {{EndpointId("e-0"), m_endpoint->address()},
+                                    {EndpointId("e-1"), other.address()}}}});
+        acquire(1);
+        for (int i = 0; i < 40; ++i)
+            assertOutcome(post("motions").get(), 200, "answered");
+        m_endpoint->isSilent = true;
+        CPPUNIT_ASSERT(waitUntil([&] {
+            assertOutcome(post("motions").get(), 200, "answered");
+            return m_endpoint->unanswered > 0;
+        }));
+        other.isSilent = true;
+        const std::string id = newId("a");
+        assertOutcome(post("pair", id, "", milliseconds(1500)).get(), 504, "unknown");
+        CPPUNIT_ASSERT_EQUAL(int64_t(1), m_endpoint->runsOf(id) + other.runsOf(id));
+    }
+
+    // Guards against a request that is lost with a connection although a new one would work.
+    void silentConnectionIsReplacedByANewOne()
+    {
+        acquire(1);
+        for (int i = 0; i < 20; ++i)
+            assertOutcome(post("motions").get(), 200, "answered");
+        m_endpoint->isSilent = true;
+        std::future<Answer> answer = post("motions", "", "x");
+        CPPUNIT_ASSERT(waitUntil([&] { return m_endpoint->unanswered == 1; }));
+        m_endpoint->isSilent = false;
+        assertOutcome(answer.get(), 200, "answered");
+    }
+
     // Guards against a repeat that runs again, or that outlives its own caller.
     void repeatWaitsForTheFirstNoLongerThanItsDeadline()
     {
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(resetWithinTheAnswerIsReported);
     CPPUNIT_TEST(closeBeforeAnswerIsLost);
     CPPUNIT_TEST(silentServerTimesOutAtTheDeadline);
+    CPPUNIT_TEST(givenUpRequestLeavesItsConnection);
     CPPUNIT_TEST(lateAnswerReachesNoOtherRequest);
     CPPUNIT_TEST(waitingForConnectionEndsAtTheDeadline);
     CPPUNIT_TEST(closedPortIsRefused);
@@ -172,6 +173,35 @@
         CPPUNIT_ASSERT(failureAfter("", true) == Failure::ConnectionLost);
     }
 
+    // Guards against a retry on the connection that went silent, or on another one that was idle at
+    // that time.
+    void givenUpRequestLeavesItsConnection()
+    {
+        PlainServer server;
+        const auto client = clientOf({.address = server.address()});
+        std::future<Answer> idle = sendWith(*client, {.path = "/idle"});
+        PlainSocket first = server.accept();
+        first.readTo("\r\n\r\n");
+        const auto promise = std::make_shared<std::promise<Answer>>();
+        const uint64_t silent = client->send({.path = "/silent"}, soon(), [promise](Answer answer) {
+            promise->set_value(std::move(answer));
+        });
+        PlainSocket second = server.accept();
+        second.readTo("\r\n\r\n");
+        first.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        CPPUNIT_ASSERT(resultOf(std::move(idle)).ok());
+        client->giveUp(silent);
+        const Answer givenUp = resultOf(promise->get_future());
+        CPPUNIT_ASSERT(failureOf(givenUp.status()) == Failure::Timeout);
+        CPPUNIT_ASSERT(first.readToEnd() && second.readToEnd());
+        client->giveUp(silent);
+        std::future<Answer> next = sendWith(*client, {.path = "/next"});
+        PlainSocket third = server.accept();
+        third.readTo("\r\n\r\n");
+        third.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        CPPUNIT_ASSERT(resultOf(std::move(next)).ok());
+    }
+
     // Guards against a request that waits past its deadline on a silent connection.
     void silentServerTimesOutAtTheDeadline()
     {
--- a/tests/requests/endpointgroup_test.cpp
+++ b/tests/requests/endpointgroup_test.cpp
@@ -69,6 +69,17 @@
         submit(group, idempotent(urgency, seconds(25)));
 }
 
+// Lets the group see that requests are answered at once.
+void observe(EndpointGroup &group, int count)
+{
+    for (int i = 0; i < count; ++i) {
+        submit(group, idempotent());
+        for (const Send &send : group.dispatch(start))
+            group.finished(send.ticket, SendResult::Answered, good(), start);
+    }
+    group.takeSettled();
+}
+
 Failure reasonOf(const Admission &admission)
 {
     CPPUNIT_ASSERT(admission.kind == Admission::Kind::Settled);
@@ -92,6 +103,9 @@
     CPPUNIT_TEST(slowEndpointGetsLessConcurrency);
     CPPUNIT_TEST(lostNonIdempotentIsUnknownAndNotRetried);
     CPPUNIT_TEST(unsentRequestIsRetriedElsewhere);
+    CPPUNIT_TEST(slowTryIsDroppedWhenItCanBeRetried);
+    CPPUNIT_TEST(slowTryGoesOnWithoutBudget);
+    CPPUNIT_TEST(nonIdempotentTryIsNeverDropped);
     CPPUNIT_TEST(releaseFinishesWhatWasAccepted);
     CPPUNIT_TEST(abandonTellsQueuedFromSent);
     CPPUNIT_TEST_SUITE_END();
@@ -321,6 +335,52 @@
         CPPUNIT_ASSERT(group.isIdle());
     }
 
+    // Guards against a silent connection that holds an idempotent request, and against a retry
+    // that is sent into a slot which the dropped try may occupy.
+    void slowTryIsDroppedWhenItCanBeRetried()
+    {
+        EndpointGroup group = groupWith(2);
+        observe(group, 20);
+        const Ticket ticket = submit(group, idempotent()).ticket;
+        const Send first = group.dispatch(start).at(0);
+        CPPUNIT_ASSERT(group.takeGiveUps(start + milliseconds(499)).empty());
+        const TimePoint limit = start + milliseconds(500);
+        const GiveUp dropped = group.takeGiveUps(limit).at(0);
+        CPPUNIT_ASSERT(dropped.ticket == ticket && dropped.endpoint == first.endpoint);
+        CPPUNIT_ASSERT(group.takeGiveUps(limit).empty());
+        group.finished(ticket, SendResult::MayHaveRun, lost(), limit);
+        CPPUNIT_ASSERT(group.hasSuspectSlots(first.endpoint));
+        const Send second = group.dispatch(limit).at(0);
+        CPPUNIT_ASSERT(second.ticket == ticket && second.endpoint != first.endpoint);
+        group.finished(ticket, SendResult::Answered, good(), limit);
+        CPPUNIT_ASSERT(group.takeSettled().at(0).outcome->kind == OutcomeKind::Answered);
+    }
+
+    // Guards against a service that became slower and whose requests are then all dropped.
+    void slowTryGoesOnWithoutBudget()
+    {
+        EndpointGroup group = groupWith(4);
+        observe(group, 20);
+        for (int i = 0; i < 16; ++i)
+            submit(group, idempotent());
+        const size_t sent = group.dispatch(start).size();
+        CPPUNIT_ASSERT_EQUAL(size_t(16), sent);
+        size_t dropped = 0;
+        for (Duration wait = milliseconds(500); wait < seconds(9); wait += milliseconds(100))
+            dropped += group.takeGiveUps(start + wait).size();
+        CPPUNIT_ASSERT(dropped >= 1 && dropped <= 5);
+    }
+
+    // Guards against an early end of a request that must not be sent again.
+    void nonIdempotentTryIsNeverDropped()
+    {
+        EndpointGroup group = groupWith(2);
+        observe(group, 20);
+        submit(group, once("a"));
+        CPPUNIT_ASSERT_EQUAL(size_t(1), group.dispatch(start).size());
+        CPPUNIT_ASSERT(group.takeGiveUps(start + seconds(9)).empty());
+    }
+
     // Guards against a lapsed owner that claims a sent request was not run.
     void abandonTellsQueuedFromSent()
     {
--- a/tests/requests/requests_properties.cpp
+++ b/tests/requests/requests_properties.cpp
@@ -149,9 +149,24 @@
             m_active.push_back({send.ticket, send.endpoint, m_owner, m_now, send.deadline, id});
             RC_ASSERT(activeAt(send.endpoint) <= slots);
         }
+        giveUp();
         collect();
     }
 
+    void giveUp()
+    {
+        for (const GiveUp &one : m_group->takeGiveUps(m_now)) {
+            RC_ASSERT(m_open.at(one.ticket).isIdempotent);
+            const auto found =
+                    std::find_if(m_active.begin(), m_active.end(), [&](const Active &active) {
+                        return active.owner == m_owner && active.ticket == one.ticket;
+                    });
+            RC_ASSERT(found != m_active.end());
+            RC_ASSERT(found->endpoint == one.endpoint);
+            finish(static_cast<size_t>(found - m_active.begin()), SendResult::MayHaveRun);
+        }
+    }
+
     // A refusal as not-run is false for an id that ran, or is at an endpoint for any owner.
     void assertNeverSent(const RequestId &id) const
     {
