--- a/src/scheduler/groups.h
+++ b/src/scheduler/groups.h
@@ -7,6 +7,7 @@
 #include "platform/platform.h"
 #include "rpc/rpc.h"
 #include "scheduler/groupowner.h"
+#include "scheduler/ownerretry.h"
 #include "settings/cellsettings.h"
 
 #include <boost/asio/io_context.hpp>
@@ -58,36 +59,64 @@
     void explain(const JobId &job, Callback callback);
     void list(Callback callback);
     Json::Value workers() const; // of the groups that are owned here
-    absl::Status setDraining(const WorkerId &worker, bool isDraining);
+    void setDraining(const WorkerId &worker, bool isDraining, Callback callback);
 
     Json::Value state() const;
 
     static std::vector<GroupId> groupsOf(const settings::CellSettings &settings);
 
 private:
-    using Answers = std::shared_ptr<std::vector<Json::Value>>;
+    struct OwnerCall
+    {
+        std::string method;
+        GroupId group;
+        Json::Value parameters;
+        OwnerRetry retry;
+        Callback callback;
+    };
+
+    struct KeptJob
+    {
+        Json::Value row;     // of the table `jobs`
+        uint64_t number = 0; // tells it from an earlier one of the same id
+        bool isUnderWay = false;
+    };
 
     void addMethod(const std::string &name);
     void serve(const std::string &method, const GroupId &group, const Json::Value &parameters,
                Callback callback);
-    void callOwner(const std::string &method, const GroupId &group, const Json::Value &parameters,
-                   Callback callback);
-    // Asks the owners one after the other until one knows the job.
+    // Tries until the owner has answered or the call's deadline has passed.
+    void callOwner(const std::shared_ptr<OwnerCall> &call);
+    void callOwnerOnce(const OwnerCall &call, Callback callback);
+    void callOwnerLater(const std::shared_ptr<OwnerCall> &call, TimePoint at);
+    static void serveDrain(GroupOwner &owner, const Json::Value &parameters,
+                           const Callback &callback);
+    // Asks the owners one after the other until one knows the job or the worker.
     void callUntilKnown(const std::string &method, const Json::Value &parameters, size_t next,
-                        Callback callback);
-    void listFrom(size_t next, Json::Value jobs, Callback callback);
+                        TimePoint deadline, Callback callback);
+    void listFrom(size_t next, Json::Value jobs, TimePoint deadline, Callback callback);
     absl::StatusOr<GroupId> groupForJob(const Json::Value &body) const;
     GroupId groupOfWorker(const platform::Instance &instance) const;
     void readInstances();
     void takeInstances(const std::vector<platform::Instance> &instances,
                        const std::vector<std::weak_ptr<GroupOwner>> &askedFor);
     void readInstancesLater();
+    // Jobs that were accepted here and were not in the store when their group was lost go to the
+    // next owner until it has stored them.
+    void keepJobs(const GroupId &group, const GroupOwner &owner);
+    void submitKept();
+    void submitKeptLater();
+    void keptAnswered(const std::pair<GroupId, JobId> &job, uint64_t number,
+                      const absl::StatusOr<Json::Value> &answer);
 
     Ports m_ports;
     SharedSettings m_settings;
     std::vector<GroupId> m_groups;
     std::map<GroupId, std::shared_ptr<GroupOwner>> m_owners;
     boost::asio::steady_timer m_instancesTimer;
+    std::map<std::pair<GroupId, JobId>, KeptJob> m_kept;
+    boost::asio::steady_timer m_keptTimer;
+    uint64_t m_keptNumber = 0;
 };
 
 } // namespace cwl::scheduler
--- a/src/scheduler/groupworkers.cpp
+++ b/src/scheduler/groupworkers.cpp
@@ -42,6 +42,8 @@
     for (const WorkerId &id : gone)
         removeWorker(id);
     m_reconciliation.setWorkers(listed);
+    for (auto &[id, reconciliation] : m_lateJobs)
+        reconciliation.setWorkers(listed);
     pumpSoon();
 }
 
@@ -87,7 +89,8 @@
 void GroupOwner::updateDraining(const WorkerEntry &worker)
 {
     const bool isLeaving = worker.instance.state == platform::InstanceState::Leaving;
-    m_planner.setDraining(worker.number, worker.isDraining || isLeaving);
+    const bool isOrdered = m_draining.count(WorkerId(worker.instance.id.value())) > 0;
+    m_planner.setDraining(worker.number, isOrdered || isLeaving);
 }
 
 // The instance list no longer shows it, so nothing runs there.
@@ -140,7 +143,9 @@
     const std::vector<TaskId> unwanted = takeRunning(worker, report, askedAt);
     if (!unwanted.empty())
         sendStops(worker, unwanted);
-    m_reconciliation.reported(id);
+    m_reconciliation.reported(id, askedAt);
+    for (auto &[job, reconciliation] : m_lateJobs)
+        reconciliation.reported(id, askedAt);
     // What runs without being accounted for takes room: nothing starts there until it has ended.
     m_planner.setReported(worker.number, unwanted.empty());
     m_planner.setReachable(worker.number, true);
@@ -202,7 +207,8 @@
     worker.tasks.insert(reported.id);
     m_tasks.emplace(reported.id, std::move(task));
     // A gang that was complete before may be seen in part only after the wait.
-    if (m_isResumed && job->second.record.spec.kind == placement::JobKind::Gang)
+    const bool isWaitOver = m_isResumed && m_lateJobs.count(parsed->first) == 0;
+    if (isWaitOver && job->second.record.spec.kind == placement::JobKind::Gang)
         resumeGang(parsed->first);
     return true;
 }
@@ -316,12 +322,18 @@
 
 absl::Status GroupOwner::setDraining(const WorkerId &id, bool isDraining)
 {
+    if (const absl::Status status = checkLoaded(); !status.ok())
+        return status;
     const auto found = m_workers.find(id);
     if (found == m_workers.end())
         return makeError(Failure::UnknownWorker,
                          absl::StrCat("worker \"", id.value(), "\" is unknown"),
                          {.field = "worker"});
-    found->second.isDraining = isDraining;
+    if (isDraining)
+        m_draining.insert(id);
+    else
+        m_draining.erase(id);
+    m_drainStore->save(id, isDraining);
     updateDraining(found->second);
     pumpSoon();
     return absl::OkStatus();
