Delete finished jobs after an hour

Cause: the owner of a group kept the row and the memory of every finished job for ever. Ruled out: deletion conditional on revisions. Nobody writes the row of a job that is over and stored, so a deletion needs no conditions, and a repeated one does no harm. Change: rows carry finishedMs. Rows of earlier versions count from the load. Conclusion: a repeat of a submission more than an hour after the job's end is a new job. A job that met a conflict in the store stays in memory, since the row is that of the other job.

--- a/src/scheduler/groupjobs.cpp
+++ b/src/scheduler/groupjobs.cpp
@@ -18,6 +18,8 @@
 
 constexpr auto durableWait = std::chrono::seconds(2); // for the answer to a submission
 constexpr size_t maxListedJobs = 1000;
+constexpr Duration deleteInterval = seconds(1); // between two batches of finished jobs
+constexpr size_t deleteBatch = 10;              // of the 25 writes a second of this process
 
 } // namespace
 
@@ -184,6 +186,49 @@
             });
 }
 
+void GroupOwner::finishJob(JobEntry &job, JobState state)
+{
+    job.record.state = state;
+    job.record.finishedAt = UnixMilliseconds::now();
+    m_finished.add(job.record.spec.id, job.record.finishedAt);
+}
+
+// Deletions wait for other writes: their part of the store budget is what is left.
+void GroupOwner::deleteFinished()
+{
+    const TimePoint now = BootClock::now();
+    if (now < m_nextDelete || m_isDeleting || m_store->pending() > 0 || !m_store->isHealthy())
+        return;
+    m_nextDelete = now + deleteInterval;
+    const UnixMilliseconds today = UnixMilliseconds::now();
+    std::vector<JobId> due;
+    for (const JobId &id : m_finished.takeDue(today, deleteBatch)) {
+        // Some of its tasks still run, or its row is being written.
+        if (m_planner.find(id) != placement::noNumber || !m_store->isStored(id))
+            m_finished.add(id, today);
+        else
+            due.push_back(id);
+    }
+    if (due.empty())
+        return;
+    m_isDeleting = true;
+    m_store->remove(due, [self = weak_from_this(), due](const absl::Status &status) {
+        if (const std::shared_ptr<GroupOwner> owner = self.lock())
+            owner->finishedDeleted(due, status);
+    });
+}
+
+void GroupOwner::finishedDeleted(const std::vector<JobId> &jobs, const absl::Status &status)
+{
+    m_isDeleting = false;
+    for (const JobId &id : jobs) {
+        if (status.ok())
+            m_jobs.erase(id);
+        else
+            m_finished.add(id, m_jobs[id].record.finishedAt);
+    }
+}
+
 // An earlier owner stored another job of this id after this owner had read the table.
 void GroupOwner::undoSubmit(const JobId &id)
 {
@@ -191,6 +236,7 @@
         for (const placement::Assignment &task : *running)
             wantStop(taskId(id, task.task.index));
     }
+    // Not finishJob(): the row in the store is that of the other job.
     m_jobs[id].record.state = JobState::Cancelled;
 }
 
@@ -208,7 +254,7 @@
     }
     JobEntry &job = found->second;
     if (job.record.state == JobState::Accepted) {
-        job.record.state = JobState::Cancelled;
+        finishJob(job, JobState::Cancelled);
         if (const auto running = m_planner.cancel(id); running.ok()) {
             for (const placement::Assignment &task : *running)
                 wantStop(taskId(id, task.task.index));
--- a/src/scheduler/groupowner.cpp
+++ b/src/scheduler/groupowner.cpp
@@ -152,6 +152,11 @@
             && record.succeeded.size() + record.failed.size() >= record.spec.count;
     if (record.state == JobState::Accepted && isOver)
         record.state = JobState::Done;
+    if (record.state != JobState::Accepted) {
+        if (record.finishedAt == UnixMilliseconds())
+            record.finishedAt = UnixMilliseconds::now();
+        m_finished.add(id, record.finishedAt);
+    }
     if (record.state == JobState::Accepted) {
         const absl::Status status = m_planner.restore({.spec = record.spec,
                                                        .succeeded = record.succeeded.indexes(),
@@ -172,6 +177,7 @@
         renewTasks();
         checkGangs();
         pump();
+        deleteFinished();
     }
     if (m_released) {
         bool isStartOpen = false;
--- a/src/scheduler/groupowner.h
+++ b/src/scheduler/groupowner.h
@@ -12,6 +12,7 @@
 #include "placement/planner.h"
 #include "platform/platform.h"
 #include "scheduler/drainstore.h"
+#include "scheduler/finishedjobs.h"
 #include "scheduler/jobrecord.h"
 #include "scheduler/jobstore.h"
 #include "scheduler/reconciliation.h"
@@ -139,6 +140,9 @@
     void resumeGang(const JobId &job);
     void answerSubmit(JobEntry &job, bool isNew, JsonCallback callback);
     void undoSubmit(const JobId &job);
+    void finishJob(JobEntry &job, JobState state);
+    void deleteFinished();
+    void finishedDeleted(const std::vector<JobId> &jobs, const absl::Status &status);
     bool isValid() const;
     absl::Status checkLoaded() const; // the jobs, the workers and the settings
     absl::Status checkJobsLoaded() const;
@@ -189,6 +193,9 @@
     std::shared_ptr<JobStore> m_store;
     std::shared_ptr<DrainStore> m_drainStore;
     std::set<WorkerId> m_draining; // by operators
+    FinishedJobs m_finished;
+    TimePoint m_nextDelete = {};
+    bool m_isDeleting = false;
     SharedSettings m_settings;
     std::map<JobId, JobEntry> m_jobs;
     std::unordered_map<TaskId, Task> m_tasks;
--- a/src/scheduler/grouptasks.cpp
+++ b/src/scheduler/grouptasks.cpp
@@ -190,7 +190,7 @@
         }
     }
     if (finished.isJobOver && job.record.state == JobState::Accepted) {
-        job.record.state = JobState::Done;
+        finishJob(job, JobState::Done);
         jobChanged(job);
     }
     for (const placement::Assignment &other : finished.stop)
--- a/src/scheduler/jobrecord.cpp
+++ b/src/scheduler/jobrecord.cpp
@@ -266,6 +266,8 @@
     row["state"] = jobStateName(record.state);
     row["succeeded"] = record.succeeded.toText();
     row["failed"] = record.failed.toText();
+    if (record.state != JobState::Accepted)
+        row["finishedMs"] = Json::Int64(record.finishedAt.value());
     return row;
 }
 
@@ -285,6 +287,8 @@
         return failed.status();
     record.succeeded = *succeeded;
     record.failed = *failed;
+    if (row["finishedMs"].isInt64())
+        record.finishedAt = UnixMilliseconds(row["finishedMs"].asInt64());
     const std::string state = row["state"].asString();
     if (state == jobStateName(JobState::Cancelled))
         record.state = JobState::Cancelled;
--- a/src/scheduler/jobrecord.h
+++ b/src/scheduler/jobrecord.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "base/clock.h"
 #include "placement/types.h"
 
 #include <absl/status/statusor.h>
@@ -45,7 +46,8 @@
     Json::Value submitted = {}; // the body as submitted: a repeat must equal it
     JobState state = JobState::Accepted;
     IndexSet succeeded = {};
-    IndexSet failed = {}; // given up
+    IndexSet failed = {};             // given up
+    UnixMilliseconds finishedAt = {}; // end of the job; 0 while it is accepted
 };
 
 // Reads a submitted job. Errors: MissingField, InvalidValue, UnknownField.
--- a/src/scheduler/jobstore.cpp
+++ b/src/scheduler/jobstore.cpp
@@ -24,8 +24,10 @@
         ours.succeeded.addAll(stored.succeeded);
         ours.failed.addAll(stored.failed);
     }
-    if (stored.state == JobState::Cancelled && ours.state == JobState::Accepted)
+    if (stored.state == JobState::Cancelled && ours.state == JobState::Accepted) {
         ours.state = JobState::Cancelled;
+        ours.finishedAt = stored.finishedAt;
+    }
     return toRow(ours);
 }
 
@@ -85,6 +87,25 @@
     writeSome();
 }
 
+void JobStore::remove(const std::vector<JobId> &jobs, Saved removed)
+{
+    platform::Commit commit;
+    commit.changeId = ChangeId(randomHexId());
+    for (const JobId &job : jobs)
+        commit.writes.push_back({table, keyOf(job), Json::Value()});
+    m_platform.commit(std::move(commit), BootClock::now() + commitDeadline,
+                      [self = shared_from_this(), jobs,
+                       removed = std::move(removed)](const absl::StatusOr<Revision> &result) {
+                          if (self->m_isClosed)
+                              return;
+                          for (const JobId &job : jobs) {
+                              if (result.ok())
+                                  self->m_entries.erase(job);
+                          }
+                          removed(result.status());
+                      });
+}
+
 bool JobStore::isStored(const JobId &job) const
 {
     const auto entry = m_entries.find(job);
--- a/src/scheduler/jobstore.h
+++ b/src/scheduler/jobstore.h
@@ -33,6 +33,9 @@
 
     void load(Loaded loaded);
     void save(const JobRecord &record, Saved saved);
+    // Deletes rows in one commit, tried once. Jobs that are over and stored only: nobody writes
+    // their rows, so the deletion has no conditions.
+    void remove(const std::vector<JobId> &jobs, Saved removed);
     void close(); // no callback comes after it
 
     bool isStored(const JobId &job) const; // its last change
--- a/tests/scheduler/run_test.cpp
+++ b/tests/scheduler/run_test.cpp
@@ -2,6 +2,8 @@
 
 #include "cell.h"
 
+#include <algorithm>
+
 namespace {
 
 using namespace cwl;
@@ -15,6 +17,7 @@
     CPPUNIT_TEST(runningTasksSurviveTheirOwner);
     CPPUNIT_TEST(callsWaitForTheNextOwner);
     CPPUNIT_TEST(drainOutlastsItsOwner);
+    CPPUNIT_TEST(finishedJobIsDeletedAfterAnHour);
     CPPUNIT_TEST(workerThatFailsEverythingIsQuarantined);
     CPPUNIT_TEST_SUITE_END();
 
@@ -101,15 +104,54 @@
         }
         const JsonAnswer unknown = cell.call("POST", "/v1/workers/none/drain");
         CPPUNIT_ASSERT_EQUAL(404, unknown.status);
-        CPPUNIT_ASSERT(waitUntil(patience(), [&cell] { return storedDrains(cell) == 1; }));
+        CPPUNIT_ASSERT(
+                waitUntil(patience(), [&cell] { return storedRows(cell, "drains").size() == 1; }));
         killOwner(cell);
         CPPUNIT_ASSERT(waitUntil(patience(), [&] { return isDraining(cell, worker); }));
         const std::string undrain = "/v1/workers/" + worker + "/undrain";
         CPPUNIT_ASSERT_EQUAL(200, cell.call("POST", undrain).status);
-        CPPUNIT_ASSERT(waitUntil(patience(), [&cell] { return storedDrains(cell) == 0; }));
+        CPPUNIT_ASSERT(
+                waitUntil(patience(), [&cell] { return storedRows(cell, "drains").size() == 0; }));
         CPPUNIT_ASSERT(!isDraining(cell, worker));
     }
 
+    // Guards against rows and memory of finished jobs that are kept for ever.
+    void finishedJobIsDeletedAfterAnHour()
+    {
+        Cell cell(2);
+        for (const char *id : {"old", "new"}) {
+            CPPUNIT_ASSERT_EQUAL(200, cell.submit(job(id, "batch", 1, 200)).status);
+            CPPUNIT_ASSERT_MESSAGE(cell.logs(), cell.waitForDone(id));
+        }
+        CPPUNIT_ASSERT(waitUntil(patience(), [&cell] {
+            const Json::Value rows = storedRows(cell, "jobs");
+            return std::count_if(
+                           rows.begin(), rows.end(),
+                           [](const Json::Value &row) { return row["value"]["state"] == "done"; })
+                    == 2;
+        }));
+        // Its end is put more than an hour back; the next owner reads that.
+        Json::Value write;
+        write["table"] = "jobs";
+        write["key"] = "worker/cell/old";
+        write["value"]["job"] = job("old", "batch", 1, 200);
+        write["value"]["state"] = "done";
+        write["value"]["succeeded"] = "0";
+        write["value"]["failed"] = "";
+        write["value"]["finishedMs"] = 1;
+        Json::Value commit;
+        commit["changeId"] = "end-put-back";
+        commit["conditions"] = Json::Value(Json::arrayValue);
+        commit["writes"].append(write);
+        const auto written = postJson(cell.standins().platform, "/tables/commit", commit);
+        CPPUNIT_ASSERT(written.ok() && written->body["committed"].asBool());
+        killOwner(cell);
+        CPPUNIT_ASSERT(waitUntil(
+                patience(), [&cell] { return cell.call("GET", "/v1/jobs/old").status == 404; }));
+        CPPUNIT_ASSERT_EQUAL(1U, storedRows(cell, "jobs").size());
+        CPPUNIT_ASSERT_EQUAL(200, cell.call("GET", "/v1/jobs/new").status);
+    }
+
     // Guards against one broken worker that fails job after job.
     void workerThatFailsEverythingIsQuarantined()
     {
@@ -129,16 +171,16 @@
     }
 
 private:
-    static size_t storedDrains(const Cell &cell)
+    static Json::Value storedRows(const Cell &cell, const std::string &table)
     {
         Json::Value read;
-        read["table"] = "drains";
+        read["table"] = table;
         read["prefix"] = "";
         Json::Value body;
         body["reads"].append(read);
         const auto answer = postJson(cell.standins().platform, "/tables/read", body);
         CPPUNIT_ASSERT(answer.ok() && answer->status == 200);
-        return answer->body["rows"][0].size();
+        return answer->body["rows"][0];
     }
 
     // As the present owner shows it.
