State not-run on refusals that no handler has seen

Cause: the HTTP server answers a body over the limit (413) and a malformed request (400) itself, and the node answers an unknown path and requests before its start; none of them said that the request was not run.

Ruled out: a fixed header in src/http, which also serves the operators' port.

Change: ServerOptions and NodeOptions take headers for such answers; cwl-entry sets Request-Outcome: not-run. The typed body was there already and is tested now.

Conclusion: a header over its limit and a connection over the limit are still closed without any answer.

--- a/src/entry/callersapi.cpp
+++ b/src/entry/callersapi.cpp
@@ -20,7 +20,6 @@
 constexpr const char *idHeader = "Request-Id";
 constexpr const char *deadlineHeader = "Request-Deadline-Ms";
 constexpr const char *classHeader = "Request-Class";
-constexpr const char *outcomeHeader = "Request-Outcome";
 constexpr int64_t defaultDeadlineMs = 10000;
 constexpr int64_t shedRetryMs = 500;
 constexpr int64_t notReadyRetryMs = 1000;
--- a/src/entry/callersapi.h
+++ b/src/entry/callersapi.h
@@ -20,6 +20,7 @@
 namespace cwl::entry {
 
 constexpr const char *servicesPrefix = "/v1/services/";
+constexpr const char *outcomeHeader = "Request-Outcome"; // names the outcome of each request
 
 // Reads a caller's request; `settings` name the services and methods. Errors: NotReady without
 // settings, else InvalidValue, MissingField, UnknownService or UnknownMethod, naming the header or
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -45,7 +45,11 @@
 
 int serve(const cwl::settings::ProcessSettings &settings)
 {
-    auto node = cwl::node::Node::create(settings, "cwl-entry");
+    // A request that no handler has seen certainly did not run.
+    cwl::node::NodeOptions options;
+    options.refusalHeaders.set(cwl::entry::outcomeHeader,
+                               outcomeName(cwl::requests::OutcomeKind::NotRun));
+    auto node = cwl::node::Node::create(settings, "cwl-entry", options);
     if (!node.ok())
         return failed(node.status());
     auto entry = cwl::entry::Entry::create(settings, **node);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -28,6 +28,7 @@
     Duration bodyTimeout = seconds(15); // from the end of the header to the end of the body
     Duration idleTimeout = seconds(60); // between requests on a kept connection
     Duration writeTimeout = seconds(15); // for one answer
+    Headers refusalHeaders = {}; // added to answers that the server gives without the handler
 };
 
 // Sends the answer of one request. May be called once, later, from any thread; further calls do
--- a/src/http/session.cpp
+++ b/src/http/session.cpp
@@ -224,6 +224,8 @@
     Response response{.status = status,
                       .body = writeJson(errorToJson(makeError(failure, message, detail)))};
     response.headers.set("Content-Type", "application/json");
+    for (const auto &[name, value] : m_context->options.refusalHeaders.all())
+        response.headers.set(name, value);
     m_phase = Phase::Handling;
     m_keepAlive = false;
     m_mustDrain = true;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -77,6 +77,7 @@
 
 private:
     void handle(http::Request request, const http::Responder &respond);
+    http::Response refusal(int status, const absl::Status &error) const;
     const http::Handler *findRoute(const std::string &path) const;
     void startThreads();
     void endThreads();
@@ -134,7 +135,10 @@
         return level.status();
     log::setLevel(*level);
     absl::StatusOr<std::unique_ptr<http::Server>> opened =
-            http::Server::create(traffic, {.address = settings.address, .port = settings.httpPort},
+            http::Server::create(traffic,
+                                 {.address = settings.address,
+                                  .port = settings.httpPort,
+                                  .refusalHeaders = options.refusalHeaders},
                                  [this](http::Request request, const http::Responder &respond) {
                                      handle(std::move(request), respond);
                                  });
@@ -205,7 +209,7 @@
 void Node::Implementation::handle(http::Request request, const http::Responder &respond)
 {
     if (!m_isRunning)
-        return respond(errorResponse(
+        return respond(refusal(
                 503,
                 makeError(Failure::NotReady, "the process is starting", {.retryAfterMs = 500})));
     const std::string path = request.path;
@@ -218,8 +222,16 @@
         log::error("handler_exception", {{"path", path}, {"what", exception.what()}});
         return respond(errorResponse(500, makeError(Failure::Internal, exception.what())));
     }
-    respond(errorResponse(
-            404, makeError(Failure::UnknownMethod, "no such path: " + path, {.field = "path"})));
+    respond(refusal(404,
+                    makeError(Failure::UnknownMethod, "no such path: " + path, {.field = "path"})));
+}
+
+http::Response Node::Implementation::refusal(int status, const absl::Status &error) const
+{
+    http::Response response = errorResponse(status, error);
+    for (const auto &[name, value] : options.refusalHeaders.all())
+        response.headers.set(name, value);
+    return response;
 }
 
 const http::Handler *Node::Implementation::findRoute(const std::string &path) const
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -30,6 +30,7 @@
 {
     Duration stopDeadline = seconds(39);     // so that the process has exited within 40 s
     supervisor::RestartPolicy restarts = {}; // of the root's children
+    http::Headers refusalHeaders = {};       // added to answers given before any handler runs
 };
 
 // The frame of one process. Routes registered here share the process's HTTP port with /healthz,
--- a/tests/entry/process_test.cpp
+++ b/tests/entry/process_test.cpp
@@ -40,6 +40,7 @@
 {
     CPPUNIT_TEST_SUITE(ProcessTest);
     CPPUNIT_TEST(requestsAreServedThroughEveryEntry);
+    CPPUNIT_TEST(refusalsBeforeTheHandlerAreNotRun);
     CPPUNIT_TEST(plannedStopCutsNothing);
     CPPUNIT_TEST(killedOwnerCausesNoSecondRun);
     CPPUNIT_TEST_SUITE_END();
@@ -68,6 +69,20 @@
         assertOnceWithinLimits(cell);
     }
 
+    // Guards against a refusal of the HTTP server itself that leaves the caller in doubt whether
+    // the request ran.
+    void refusalsBeforeTheHandlerAreNotRun()
+    {
+        tests::EntryCell cell({.entries = 1});
+        const std::string entry = cell.entry(0).httpAddress();
+        const http::Request large{.method = "POST",
+                                  .path = "/v1/services/draw/motions",
+                                  .body = std::string(5UL * 1024 * 1024, 'x')};
+        assertNotRun(harness::call(entry, large), 413, Failure::BodyTooLarge);
+        const http::Request unknownPath{.method = "POST", .path = "/v1/service/draw/motions"};
+        assertNotRun(harness::call(entry, unknownPath), 404, Failure::UnknownMethod);
+    }
+
     // Guards against a planned stop that cuts requests in flight.
     void plannedStopCutsNothing()
     {
@@ -139,6 +154,15 @@
     }
 
 private:
+    static void assertNotRun(const Answer &answer, int status, Failure failure)
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("not-run"), outcomeOf(answer));
+        CPPUNIT_ASSERT_EQUAL(status, answer->status);
+        const auto body = parseJson(answer->body);
+        CPPUNIT_ASSERT(body.ok());
+        CPPUNIT_ASSERT(failureOf(errorFromJson(*body)) == failure);
+    }
+
     static int64_t acceptedAt(const std::string &address)
     {
         const auto state = harness::getJson(address, "/state");
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -94,12 +94,15 @@
     // Guards against a body that fills the memory, and a refusal that does not name the limit.
     void largeBodyIsRefusedWithItsLimit()
     {
-        PlainSocket socket(start({.maxBodyBytes = 1000}));
+        ServerOptions options{.maxBodyBytes = 1000};
+        options.refusalHeaders.set("Request-Outcome", "not-run");
+        PlainSocket socket(start(options));
         socket.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n"
                      + std::string(1001, 'x'));
         CPPUNIT_ASSERT(socket.readToEnd());
         CPPUNIT_ASSERT(socket.received().starts_with("HTTP/1.1 413 "));
         CPPUNIT_ASSERT(socket.received().find("1000 bytes") != std::string::npos);
+        CPPUNIT_ASSERT(socket.received().find("Request-Outcome: not-run\r\n") != std::string::npos);
     }
 
     // Guards against a body without a stated length that passes the limit unnoticed.
