Go on serving for 5 s after the stop signal

Cause: an entry closed its port as soon as its groups were handed over, which an idle one does at once, while the load balancer still sends to it.

Ruled out: nothing further; kept connections are not treated here.

Change: the entry refuses and ends only when both the hand-over is complete and 5 s have passed since the signal. Until then it serves by way of other owners.

An idle kept connection is still closed without an answer that says Connection: close. Why the failing run ended as no_owner and not as a refused connection was not examined.

--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -163,7 +163,7 @@
         held["callers"] = Json::Int64(m_api->underWay());
         return held;
     });
-    m_node.onStop([this](std::function<void()> done) { stop(std::move(done)); });
+    m_node.onStop([this](const std::function<void()> &done) { stop(done); });
     m_node.supervisor().add("entry", {.start = [this](const supervisor::Failed &) { start(); }});
 }
 
@@ -228,18 +228,23 @@
 
 // Section: graceful shutdown
 
-void Entry::stop(std::function<void()> done)
+void Entry::stop(const std::function<void()> &done)
 {
     m_refuseTimer.expires_after(acceptWhileStopping);
-    m_refuseTimer.async_wait([this](const boost::system::error_code &error) {
-        if (!error)
-            m_api->stop();
+    m_refuseTimer.async_wait([this, done](const boost::system::error_code &error) {
+        if (error)
+            return;
+        m_api->stop();
+        m_hasAcceptedLongEnough = true;
+        if (m_isHandedOver)
+            stopWhenIdle(done);
     });
     m_member->setReady(false);
-    m_member->shutDown([this, done = std::move(done)] {
-        m_refuseTimer.cancel();
-        m_api->stop();
-        stopWhenIdle(done);
+    // The hand-over may be quick; callers are then served by way of the other owners.
+    m_member->shutDown([this, done] {
+        m_isHandedOver = true;
+        if (m_hasAcceptedLongEnough)
+            stopWhenIdle(done);
     });
 }
 
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -43,7 +43,7 @@
     void onSettings(const SharedSettings &settings);
     void serveExecute(rpc::Message message, const rpc::Reply &reply);
     void tellPeers();
-    void stop(std::function<void()> done);
+    void stop(const std::function<void()> &done);
     void stopWhenIdle(std::function<void()> done);
 
     node::Node &m_node;
@@ -60,6 +60,8 @@
     boost::asio::steady_timer m_peersTimer;
     boost::asio::steady_timer m_refuseTimer; // from the stop signal until new requests are refused
     boost::asio::steady_timer m_stopTimer;
+    bool m_hasAcceptedLongEnough = false; // since the stop signal, for the balancer to notice
+    bool m_isHandedOver = false;          // all groups, and the member's row is gone
 };
 
 } // namespace cwl::entry
--- a/tests/entry/process_test.cpp
+++ b/tests/entry/process_test.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(requestsAreServedThroughEveryEntry);
     CPPUNIT_TEST(refusalsBeforeTheHandlerAreNotRun);
     CPPUNIT_TEST(plannedStopCutsNothing);
+    CPPUNIT_TEST(stoppingEntryServesUntilTheBalancerNotices);
     CPPUNIT_TEST(killedOwnerCausesNoSecondRun);
     CPPUNIT_TEST_SUITE_END();
 
@@ -115,6 +116,27 @@
         assertOnceWithinLimits(cell);
     }
 
+    // Guards against requests that are lost because the load balancer sends to a stopping entry
+    // until it has seen that the entry is not ready.
+    void stoppingEntryServesUntilTheBalancerNotices()
+    {
+        tests::EntryCell cell({});
+        const std::string address = cell.entry(1).httpAddress();
+        cell.entry(1).process->terminate();
+        const TimePoint end = BootClock::now() + seconds(2);
+        for (int i = 0; BootClock::now() < end; ++i) {
+            const Answer answer = post(address, "motions", newId("b" + std::to_string(i)));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.ok() ? answer->body : cell.logs(),
+                                         std::string("answered"), outcomeOf(answer));
+        }
+        const auto ready = harness::call(address, {.path = "/readyz"});
+        CPPUNIT_ASSERT(ready.ok());
+        CPPUNIT_ASSERT_EQUAL(503, ready->status);
+        const auto code = cell.entry(1).process->waitForExit(BootClock::now() + seconds(60));
+        CPPUNIT_ASSERT(code.ok());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(cell.logs(), 0, *code);
+    }
+
     // Guards against a second run when an owner dies with requests in flight and callers repeat
     // them elsewhere.
     void killedOwnerCausesNoSecondRun()
