--- a/tests/entry/process_test.cpp
+++ b/tests/entry/process_test.cpp
@@ -40,7 +40,9 @@
 {
     CPPUNIT_TEST_SUITE(ProcessTest);
     CPPUNIT_TEST(requestsAreServedThroughEveryEntry);
+    CPPUNIT_TEST(refusalsBeforeTheHandlerAreNotRun);
     CPPUNIT_TEST(plannedStopCutsNothing);
+    CPPUNIT_TEST(stoppingEntryServesUntilTheBalancerNotices);
     CPPUNIT_TEST(killedOwnerCausesNoSecondRun);
     CPPUNIT_TEST_SUITE_END();
 
@@ -68,6 +70,20 @@
         assertOnceWithinLimits(cell);
     }
 
+    // Guards against a refusal of the HTTP server itself that leaves the caller in doubt whether
+    // the request ran.
+    void refusalsBeforeTheHandlerAreNotRun()
+    {
+        tests::EntryCell cell({.entries = 1});
+        const std::string entry = cell.entry(0).httpAddress();
+        const http::Request large{.method = "POST",
+                                  .path = "/v1/services/draw/motions",
+                                  .body = std::string(5UL * 1024 * 1024, 'x')};
+        assertNotRun(harness::call(entry, large), 413, Failure::BodyTooLarge);
+        const http::Request unknownPath{.method = "POST", .path = "/v1/service/draw/motions"};
+        assertNotRun(harness::call(entry, unknownPath), 404, Failure::UnknownMethod);
+    }
+
     // Guards against a planned stop that cuts requests in flight.
     void plannedStopCutsNothing()
     {
@@ -100,6 +116,27 @@
         assertOnceWithinLimits(cell);
     }
 
+    // Guards against requests that are lost because the load balancer sends to a stopping entry
+    // until it has seen that the entry is not ready.
+    void stoppingEntryServesUntilTheBalancerNotices()
+    {
+        tests::EntryCell cell({});
+        const std::string address = cell.entry(1).httpAddress();
+        cell.entry(1).process->terminate();
+        const TimePoint end = BootClock::now() + seconds(2);
+        for (int i = 0; BootClock::now() < end; ++i) {
+            const Answer answer = post(address, "motions", newId("b" + std::to_string(i)));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.ok() ? answer->body : cell.logs(),
+                                         std::string("answered"), outcomeOf(answer));
+        }
+        const auto ready = harness::call(address, {.path = "/readyz"});
+        CPPUNIT_ASSERT(ready.ok());
+        CPPUNIT_ASSERT_EQUAL(503, ready->status);
+        const auto code = cell.entry(1).process->waitForExit(BootClock::now() + seconds(60));
+        CPPUNIT_ASSERT(code.ok());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(cell.logs(), 0, *code);
+    }
+
     // Guards against a second run when an owner dies with requests in flight and callers repeat
     // them elsewhere.
     void killedOwnerCausesNoSecondRun()
@@ -141,6 +178,15 @@
     }
 
 private:
+    static void assertNotRun(const Answer &answer, int status, Failure failure)
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("not-run"), outcomeOf(answer));
+        CPPUNIT_ASSERT_EQUAL(status, answer->status);
+        const auto body = parseJson(answer->body);
+        CPPUNIT_ASSERT(body.ok());
+        CPPUNIT_ASSERT(failureOf(errorFromJson(*body)) == failure);
+    }
+
     static int64_t acceptedAt(const std::string &address)
     {
         const auto state = harness::getJson(address, "/state");
