--- a/tests/integration/requeststore_test.cpp
+++ b/tests/integration/requeststore_test.cpp
@@ -43,7 +43,6 @@
     CPPUNIT_TEST(lostAnswersAndSlowStoreDisturbNoRequest);
     CPPUNIT_TEST(lostAnswersAloneEndNoLease);
     CPPUNIT_TEST(entryCutOffFromTheStoreGoesOn);
-    CPPUNIT_TEST(entryKilledInAnOutageCausesNoSecondRun);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -112,35 +111,7 @@
         assertUndisturbed(cell, callers);
     }
 
-    // Guards against a second run, or a false "not-run", when an owner dies while the store is down
-    // and its groups have no owner until the store returns.
-    void entryKilledInAnOutageCausesNoSecondRun()
-    {
-        Cell cell({.serviceMs = 100});
-        Callers callers(cell.entryAddresses(), {.threads = 12, .seed = tests::testSeed()});
-        assertServes(cell, callers, 50);
-        harness::Member &owner = cell.ownerOf("endpoint/draw/0");
-        cell.platform("outage", true);
-        cell.kill(owner);
-        assertTries(cell, callers, 12);
-        cell.start(owner);
-        assertTries(cell, callers, 12);
-        cell.platform("outage", false);
-        assertReady(cell, owner);
-        CPPUNIT_ASSERT_MESSAGE(cell.logs(), cell.waitUntilOwned("endpoint/", 4));
-        assertServes(cell, callers, 100);
-        assertKept(cell, callers);
-    }
-
 private:
-    static void assertTries(const Cell &cell, const Callers &callers, size_t more)
-    {
-        const size_t target = callers.records().size() + more;
-        const bool areTried = harness::waitUntil(
-                harness::patience(), [&] { return callers.records().size() >= target; });
-        CPPUNIT_ASSERT_MESSAGE(callers.summary() + cell.logs(), areTried);
-    }
-
     // No member fails and no group changes its owner in these tests, so each request is answered
     // at the first attempt.
     static void assertUndisturbed(const Cell &cell, Callers &callers)
