Let a lapsed witness vote under its former id

Cause: integration-outage-kill was red. With three entries, one dies in an outage; the other two need its promise for their majority and lapse. When the store returns they are new members, and the dead member's row names two witnesses whose rows are gone, so its takeover waited maxStoreAbsence (30 min). Ruled out: slow recovery of the store client; the groups had no owner, and the simulation shows the same. Change: a process keeps the witness state of its former ids and votes, but never promises, under them; a member that finds no row of a witness asks all live members. Safe, since the process did not forget its promises. Before: lapsedWitnessesStillVote and integration-outage-kill fail. Conclusion: an outage and the loss of an owner together no longer cost 30 minutes with three members.

--- a/src/ownership/runner.cpp
+++ b/src/ownership/runner.cpp
@@ -58,7 +58,11 @@
     : io(runner.m_transport, runner.m_use, [&runner] { runner.check(); })
     , witness(runner.m_self.id)
     , renewer(io, runner.m_directory, runner.m_self, runner.m_peers)
-    , takeover(io, runner.m_directory, witness, runner.m_self, runner.m_former)
+    , takeover(
+              io, runner.m_directory,
+              [&runner](const MemberId &asked, const MemberId &member, Revision revision,
+                        TimePoint now) { return runner.voteAs(asked, member, revision, now); },
+              runner.m_self, runner.m_former)
     , keeper(io, runner.m_directory, runner.m_self, runner.m_listener,
              [&runner](const std::map<GroupId, Epoch> &owned) { runner.publishOwned(owned); })
 {
@@ -126,6 +130,7 @@
     log::warn("member_lapsed", {{"member", m_self.id.value()}});
     const std::vector<GroupId> groups = m_incarnation->keeper.heldGroups();
     publishOwned({});
+    retireWitness();
     m_incarnation.reset();
     for (const GroupId &group : groups)
         m_listener.lost(group);
@@ -140,6 +145,26 @@
         finishShutDown();
 }
 
+// The process goes on voting as its former ids: unlike a restarted one, it knows what it promised.
+// It promises nothing more under them.
+void Runner::retireWitness()
+{
+    m_retired.push_back(std::move(m_incarnation->witness));
+    if (m_retired.size() > maxFormerIds)
+        m_retired.pop_front();
+}
+
+bool Runner::voteAs(const MemberId &asked, const MemberId &member, Revision revision, TimePoint now)
+{
+    if (m_incarnation->witness.vote(asked, member, revision, now))
+        return true;
+    for (Witness &witness : m_retired) {
+        if (witness.vote(asked, member, revision, now))
+            return true;
+    }
+    return false;
+}
+
 void Runner::enter()
 {
     m_self.id = MemberId(m_transport.randomId());
@@ -316,8 +341,8 @@
         return request.status();
     if (!m_isStarted)
         return makeError(Failure::NotReady, "the member is not started");
-    return grantedAnswer(m_incarnation->witness.vote(request->witness, request->member,
-                                                     request->revision, m_transport.now()));
+    return grantedAnswer(
+            voteAs(request->witness, request->member, request->revision, m_transport.now()));
 }
 
 absl::StatusOr<Json::Value> Runner::owners()
--- a/src/ownership/runner.h
+++ b/src/ownership/runner.h
@@ -59,6 +59,8 @@
 
     void check();
     void lapse();
+    void retireWitness();
+    bool voteAs(const MemberId &asked, const MemberId &member, Revision revision, TimePoint now);
     void enter();
     void publishValidity();
     void publishOwned(const std::map<GroupId, Epoch> &owned);
@@ -77,6 +79,7 @@
     Directory m_directory;
     std::deque<MemberId> m_formerOrder; // oldest first, bounds m_former
     std::set<MemberId> m_former;        // ids of earlier incarnations
+    std::deque<Witness> m_retired;      // of earlier incarnations, oldest first; they only vote
     std::unique_ptr<Incarnation> m_incarnation;
     std::atomic<int64_t> m_validUntil = 0; // nanoseconds of TimePoint
     std::atomic<std::shared_ptr<const std::map<GroupId, Epoch>>> m_owned;
--- a/src/ownership/takeover.cpp
+++ b/src/ownership/takeover.cpp
@@ -37,11 +37,11 @@
 
 } // namespace
 
-Takeover::Takeover(Io &io, Directory &directory, Witness &witness, const MemberInfo &self,
+Takeover::Takeover(Io &io, Directory &directory, Vote vote, const MemberInfo &self,
                    const std::set<MemberId> &former)
     : m_io(io)
     , m_directory(directory)
-    , m_witness(witness)
+    , m_vote(std::move(vote))
     , m_self(self)
     , m_former(former)
 {
@@ -103,29 +103,45 @@
     Observation &observation = m_directory.observation();
     const Revision revision = observation.revision(member);
     for (const MemberId &witness : observation.witnesses(member)) {
-        if (witness == m_self.id) {
-            if (m_witness.vote(witness, member, revision, now))
-                observation.voted(witness, member, revision);
-            continue;
-        }
-        const std::string address = m_directory.rpcAddress(witness);
-        if (address.empty())
-            continue;
-        ++m_votesAsked;
-        Json::Value parameters;
-        parameters["witness"] = witness.value();
-        parameters["member"] = member.value();
-        parameters["revision"] = Json::Int64(revision.value());
-        m_io.call(address, "member.vote", parameters, voteTimeout,
-                  [this, witness, member, revision](const absl::StatusOr<Json::Value> &answer) {
-                      if (!answer.ok() || !boolMember(*answer, "granted").value_or(false))
-                          return;
-                      m_directory.observation().voted(witness, member, revision);
-                      consider(member, m_io.now());
-                  });
+        if (m_vote(witness, member, revision, now))
+            observation.voted(witness, member, revision);
+        else if (witness != m_self.id)
+            askVoteOf(witness, member, revision);
     }
 }
 
+// A witness whose row is gone may have lapsed and be another member now. Its process still knows
+// what it promised, so every live member is asked whether it was that witness.
+void Takeover::askVoteOf(const MemberId &witness, const MemberId &member, Revision revision)
+{
+    const std::string address = m_directory.rpcAddress(witness);
+    if (!address.empty()) {
+        sendVoteRequest(address, witness, member, revision);
+        return;
+    }
+    for (const MemberInfo &other : m_directory.live(m_self.role)) {
+        if (other.id != m_self.id && !other.rpcAddress.empty())
+            sendVoteRequest(other.rpcAddress, witness, member, revision);
+    }
+}
+
+void Takeover::sendVoteRequest(const std::string &address, const MemberId &witness,
+                               const MemberId &member, Revision revision)
+{
+    ++m_votesAsked;
+    Json::Value parameters;
+    parameters["witness"] = witness.value();
+    parameters["member"] = member.value();
+    parameters["revision"] = Json::Int64(revision.value());
+    m_io.call(address, "member.vote", parameters, voteTimeout,
+              [this, witness, member, revision](const absl::StatusOr<Json::Value> &answer) {
+                  if (!answer.ok() || !boolMember(*answer, "granted").value_or(false))
+                      return;
+                  m_directory.observation().voted(witness, member, revision);
+                  consider(member, m_io.now());
+              });
+}
+
 void Takeover::remove(const MemberId &member, const char *reason, TimePoint now)
 {
     Attempt &attempt = m_attempts[member];
--- a/src/ownership/takeover.h
+++ b/src/ownership/takeover.h
@@ -5,19 +5,24 @@
 
 #include "ownership/directory.h"
 #include "ownership/io.h"
-#include "ownership/witness.h"
 
+#include <functional>
 #include <map>
 #include <set>
 
 namespace cwl::ownership {
 
+// Votes in this process as the named witness, which may be an id of its own that has lapsed; false
+// if the process was never that witness or must not vote.
+using Vote = std::function<bool(const MemberId &witness, const MemberId &member, Revision revision,
+                                TimePoint now)>;
+
 class Takeover
 {
 public:
     // `former` are the ids of earlier incarnations of this process: they are known to be invalid,
     // so their rows are deleted without a fence.
-    Takeover(Io &io, Directory &directory, Witness &witness, const MemberInfo &self,
+    Takeover(Io &io, Directory &directory, Vote vote, const MemberInfo &self,
              const std::set<MemberId> &former);
 
     void tick(TimePoint now);
@@ -33,11 +38,14 @@
     Duration turnDelay(const MemberId &member) const;
     void consider(const MemberId &member, TimePoint now);
     void askVotes(const MemberId &member, TimePoint now);
+    void askVoteOf(const MemberId &witness, const MemberId &member, Revision revision);
+    void sendVoteRequest(const std::string &address, const MemberId &witness,
+                         const MemberId &member, Revision revision);
     void remove(const MemberId &member, const char *reason, TimePoint now);
 
     Io &m_io;
     Directory &m_directory;
-    Witness &m_witness;
+    Vote m_vote;
     const MemberInfo &m_self;
     const std::set<MemberId> &m_former;
     std::map<MemberId, Attempt> m_attempts;
--- a/tests/ownership/runner_test.cpp
+++ b/tests/ownership/runner_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(outageIsBridgedByPromises);
     CPPUNIT_TEST(outageSoonAfterTheStartIsBridged);
     CPPUNIT_TEST(outageEndsWithoutAMajority);
+    CPPUNIT_TEST(lapsedWitnessesStillVote);
     CPPUNIT_TEST(pauseLosesGroupsBeforeNewRegistration);
     CPPUNIT_TEST(betterRankedMemberGetsGroupsByHandOver);
     CPPUNIT_TEST(noHandOverDuringAnOutage);
@@ -141,6 +142,23 @@
         CPPUNIT_ASSERT(simulation->process(3).held.empty());
     }
 
+    // Guards against groups without an owner for maxStoreAbsence when the witnesses of a dead
+    // member lapsed in the same outage: their processes still know what they promised.
+    void lapsedWitnessesStillVote()
+    {
+        const auto simulation = settled(3, 6);
+        const size_t owner = simulation->validOwners(simulation->groups()[0]).at(0);
+        simulation->isOutage = true;
+        simulation->runFor(seconds(5));
+        simulation->stop(owner);
+        simulation->runFor(seconds(10));
+        for (const size_t other : {(owner + 1) % 3, (owner + 2) % 3})
+            CPPUNIT_ASSERT(simulation->process(other).held.empty());
+        simulation->isOutage = false;
+        simulation->runFor(seconds(20));
+        CPPUNIT_ASSERT(simulation->hasSettled());
+    }
+
     // Guards against work for a group after a pause in which it was taken over.
     void pauseLosesGroupsBeforeNewRegistration()
     {
