Keep the team's token in the demo's settings change

Cause: the demo replaced a team's subtree by a text without the token, so the team could not change it afterwards; seen with cwl settings set against the running demo (not_authorized). Change: the demo changes the file's own text.

--- a/tests/demo/cell.h
+++ b/tests/demo/cell.h
@@ -60,6 +60,8 @@
                                        int64_t basedOn);
     int64_t settingsVersion(const harness::Member &member) const;
     bool waitForVersionEverywhere(int64_t version);
+    std::string
+    fileText(const std::string &subtree) const; // settings as they stand in the repository
 
     // Section: failures
     void killInstance(size_t instance);
@@ -80,7 +82,6 @@
 
 private:
     bool applySettings();
-    std::string fileText(const std::string &subtree) const;
     std::vector<const harness::Member *> running();
 
     CellPlan m_plan;
--- a/tests/demo/main.cpp
+++ b/tests/demo/main.cpp
@@ -205,8 +205,8 @@
 
 void showSettings(Cell &cell, const CellPlan &plan, Report &report)
 {
-    const std::string text = R"({"quota": {"cores": 500000, "memoryMiB": 2000000}, "weight": 350,
-                                 "note": "changed by the demo"})";
+    std::string text = cell.fileText(plan.urgentTeam);
+    text.insert(text.find('{') + 1, "\"note\": \"changed by the demo\",");
     const int64_t before = cell.settingsVersion(cell.deployment().scheduler(0));
     const auto start = cwl::BootClock::now();
     const auto answer = cell.changeSettings(4, plan.urgentTeam, text, plan.operatorsToken, before);
