--- a/src/checker/main.cpp
+++ b/src/checker/main.cpp
@@ -2,6 +2,7 @@
 
 #include "base/exitcode.h"
 #include "base/json.h"
+#include "base/version.h"
 #include "settings/cellsettings.h"
 #include "settings/describe.h"
 #include "settings/processsettings.h"
@@ -110,7 +111,7 @@
         std::cout << usage;
         return asInt(cwl::ExitCode::Success);
     } catch (const docopt::DocoptExitVersion &) {
-        std::cout << "cwl-check 0.1.0\n";
+        std::cout << "cwl-check " << cwl::version << "\n";
         return asInt(cwl::ExitCode::Success);
     } catch (const std::runtime_error &error) {
         std::cerr << "cwl-check: " << error.what() << "\n" << usage;
--- a/src/client/main.cpp
+++ b/src/client/main.cpp
@@ -3,6 +3,7 @@
 #include "base/error.h"
 #include "base/exitcode.h"
 #include "base/json.h"
+#include "base/version.h"
 #include "client/commands.h"
 #include "client/output.h"
 
@@ -208,7 +209,7 @@
         std::cout << usage;
         return asInt(ExitCode::Success);
     } catch (const docopt::DocoptExitVersion &) {
-        std::cout << "cwl 0.1.0\n";
+        std::cout << "cwl " << cwl::version << "\n";
         return asInt(ExitCode::Success);
     } catch (const std::runtime_error &error) {
         return reportUsage(error.what());
--- a/src/scheduler/main.cpp
+++ b/src/scheduler/main.cpp
@@ -1,80 +1,30 @@
 // cwl-scheduler: jobs, placement, worker leases, settings, the operators' interface.
 
-#include "base/error.h"
-#include "base/exitcode.h"
 #include "node/node.h"
+#include "node/program.h"
 #include "scheduler/scheduler.h"
-#include "settings/processsettings.h"
-
-#include <docopt/docopt.h>
-
-#include <iostream>
-#include <map>
-#include <stdexcept>
-#include <string>
 
 namespace {
 
 using cwl::ExitCode;
 
-constexpr const char *usage = R"(Places the jobs of one cell and serves its operators.
-
-Usage:
-  cwl-scheduler --settings FILE [--check]
-  cwl-scheduler --help
-  cwl-scheduler --version
-
-Options:
-  --settings FILE  settings of this process, JSON with comments
-  --check          check the settings and exit
-)";
-
-int failed(const absl::Status &status)
-{
-    std::cerr << "cwl-scheduler: " << status.message() << "\n";
-    switch (cwl::failureOf(status)) {
-    case cwl::Failure::AddressInUse:
-        return static_cast<int>(ExitCode::AddressInUse);
-    case cwl::Failure::InvalidSettings:
-    case cwl::Failure::InvalidValue:
-        return static_cast<int>(ExitCode::InvalidSettings);
-    default:
-        return static_cast<int>(ExitCode::Failure);
-    }
-}
+const cwl::node::ProgramInfo program = {"cwl-scheduler",
+                                        "Places the jobs of one cell and serves its operators."};
 
-int serve(const cwl::settings::ProcessSettings &settings)
+ExitCode serve(const cwl::settings::ProcessSettings &settings)
 {
-    auto node = cwl::node::Node::create(settings, "cwl-scheduler");
+    auto node = cwl::node::Node::create(settings, program.name);
     if (!node.ok())
-        return failed(node.status());
+        return cwl::node::reportFailure(program, node.status());
     auto scheduler = cwl::scheduler::Scheduler::create(settings, **node);
     if (!scheduler.ok())
-        return failed(scheduler.status());
-    return static_cast<int>((*node)->run());
+        return cwl::node::reportFailure(program, scheduler.status());
+    return (*node)->run();
 }
 
 } // namespace
 
 int main(int argc, char **argv)
 {
-    std::map<std::string, docopt::value> arguments;
-    try {
-        arguments = docopt::docopt_parse(usage, {argv + 1, argv + argc}, true, true);
-    } catch (const docopt::DocoptExitHelp &) {
-        std::cout << usage;
-        return static_cast<int>(ExitCode::Success);
-    } catch (const docopt::DocoptExitVersion &) {
-        std::cout << "cwl-scheduler 0.1.0\n";
-        return static_cast<int>(ExitCode::Success);
-    } catch (const std::runtime_error &error) {
-        std::cerr << "cwl-scheduler: " << error.what() << "\n" << usage;
-        return static_cast<int>(ExitCode::Usage);
-    }
-    const auto settings = cwl::settings::loadProcessSettings(arguments["--settings"].asString());
-    if (!settings.ok())
-        return failed(settings.status());
-    if (arguments["--check"].asBool())
-        return static_cast<int>(ExitCode::Success);
-    return serve(*settings);
+    return static_cast<int>(cwl::node::runProgram(program, argc, argv, serve));
 }
