Follow the owners until the process ends

After its hand-over a member stopped reading the tables, so its view kept the moment in which a group had no owner, while the entry goes on serving for 5 s. Ruled out: a takeover that was late; the group had its new owner within a second. Change: a member that has shut down goes on reading members and groups, and does nothing else. Before: shutDownHandsOverAndDeletesTheRow with the new check fails. Conclusion: a stopping entry routes until its end.

--- a/src/ownership/runner.cpp
+++ b/src/ownership/runner.cpp
@@ -86,11 +86,15 @@
 
 void Runner::tick()
 {
-    if (!m_isStarted || m_isStopped)
+    if (!m_isStarted)
         return;
     check();
     const TimePoint now = m_transport.now();
     readIfDue(now);
+    // A process that is shutting down still routes what arrives, so it goes on following the
+    // owners.
+    if (m_isStopped)
+        return;
     // The first row names witnesses, so the members are read before it is written. When they
     // cannot be read, nothing can be written either.
     if (!m_directory.hasRead())
@@ -224,7 +228,7 @@
     const TimePoint now = m_transport.now();
     m_directory.update(answer->at(0), answer->at(1), now);
     m_incarnation->witness.forget(m_directory.observation().revisions(), now);
-    if (m_incarnation->renewer.lease().isValid(now))
+    if (!m_isStopped && m_incarnation->renewer.lease().isValid(now))
         m_incarnation->keeper.afterRead(now);
 }
 
--- a/tests/ownership/runner_test.cpp
+++ b/tests/ownership/runner_test.cpp
@@ -231,6 +231,9 @@
         CPPUNIT_ASSERT(isDone);
         CPPUNIT_ASSERT(!simulation->hasMember(before));
         CPPUNIT_ASSERT(simulation->hasSettled());
+        // The process goes on routing for some seconds, so it must know the new owners.
+        for (const GroupId &group : simulation->groups())
+            CPPUNIT_ASSERT(process.runner->ownerOf(group).has_value());
     }
 
     // Guards against a shutdown that gives groups away while requests are in flight.
