--- a/src/client/commands.cpp
+++ b/src/client/commands.cpp
@@ -153,7 +153,7 @@
         CommandEntry{"workers", workers},
         CommandEntry{"drain", drain},
         CommandEntry{"undrain", undrain},
-        CommandEntry{"settings get", getSettings},
+        CommandEntry{"settings get", showSettings},
         CommandEntry{"settings set", setSettings},
         CommandEntry{"settings diff", diffSettings},
         CommandEntry{"settings status", settingsStatus},
--- a/src/client/commands.h
+++ b/src/client/commands.h
@@ -46,7 +46,7 @@
 
 // Section: settings commands, in settingscommands.cpp
 
-absl::StatusOr<Output> getSettings(Connection &connection, const Arguments &arguments);
+absl::StatusOr<Output> showSettings(Connection &connection, const Arguments &arguments);
 absl::StatusOr<Output> setSettings(Connection &connection, const Arguments &arguments);
 absl::StatusOr<Output> diffSettings(Connection &connection, const Arguments &arguments);
 absl::StatusOr<Output> settingsStatus(Connection &connection, const Arguments &arguments);
--- a/src/client/settingscommands.cpp
+++ b/src/client/settingscommands.cpp
@@ -137,7 +137,7 @@
 
 // Section: commands
 
-absl::StatusOr<Output> getSettings(Connection &connection, const Arguments &arguments)
+absl::StatusOr<Output> showSettings(Connection &connection, const Arguments &arguments)
 {
     if (arguments.subtree.empty()) {
         const absl::StatusOr<Answer> answer = connection.send({.path = "/v1/settings"});
