--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -58,6 +58,7 @@
         FailureEntry{Failure::Conflict, "conflict", Code::kAborted},
         FailureEntry{Failure::StoreUnavailable, "store_unavailable", Code::kUnavailable},
         FailureEntry{Failure::StoreOutcomeUnknown, "store_outcome_unknown", Code::kUnknown},
+        FailureEntry{Failure::HistoryLost, "history_lost", Code::kOutOfRange},
         FailureEntry{Failure::ConnectionRefused, "connection_refused", Code::kUnavailable},
         FailureEntry{Failure::ConnectionLost, "connection_lost", Code::kUnknown},
         FailureEntry{Failure::Timeout, "timeout", Code::kDeadlineExceeded},
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -53,6 +53,7 @@
     // Outside systems and connections
     StoreUnavailable,
     StoreOutcomeUnknown,
+    HistoryLost,
     ConnectionRefused,
     ConnectionLost,
     Timeout,
--- /dev/null
+++ b/src/cell/entry.cpp
@@ -0,0 +1,260 @@
+#include "cell/entry.h"
+
+#include "base/error.h"
+#include "base/json.h"
+#include "node/log.h"
+
+#include <absl/strings/match.h>
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cwl::cell {
+
+Entry::Entry(boost::asio::io_context &context, TableStore &store, std::string member,
+             LocalOwner local, metrics::Registry &metrics)
+    : m_context(context)
+    , m_store(store)
+    , m_member(std::move(member))
+    , m_local(std::move(local))
+    , m_acceptance(context, store)
+    , m_accepted(metrics.counter("cwl_cell_jobs_accepted_total", "Jobs stored."))
+    , m_refused(metrics.counter("cwl_cell_jobs_refused_total", "Jobs certainly not stored."))
+    , m_unknown(metrics.counter("cwl_cell_jobs_unknown_total", "Jobs that may be stored."))
+    , m_acceptTime(metrics.histogram("cwl_cell_accept_seconds", "From a job's arrival to its answer."))
+{
+}
+
+void Entry::setConfig(std::shared_ptr<const jobs::CellConfig> config)
+{
+    m_config = std::move(config);
+}
+
+void Entry::setOwner(const OwnerRow &owner)
+{
+    m_owner = owner;
+    if (owner.address == m_ownerAddress)
+        return;
+    m_ownerAddress = owner.address;
+    m_ownerClient.reset();
+    if (owner.address.empty())
+        return;
+    auto client = http::Client::create(m_context, {.address = owner.address,
+                                                   .maxConnections = 6,
+                                                   .connectTimeout = milliseconds(300),
+                                                   .traffic = Traffic::RpcControl});
+    if (!client.ok()) {
+        log::warn("owner_address_invalid", {{"error", client.status()}});
+        return;
+    }
+    m_ownerClient = *std::move(client);
+}
+
+const jobs::Queue *Entry::findQueue(const std::string &host, const std::string &path) const
+{
+    const jobs::Queue *best = nullptr;
+    if (!m_config)
+        return nullptr;
+    for (const jobs::Queue &queue : m_config->queues) {
+        if (queue.host == host && absl::StartsWith(path, queue.prefix)
+            && (!best || queue.prefix.size() > best->prefix.size()))
+            best = &queue;
+    }
+    return best;
+}
+
+// Section: jobs
+
+void Entry::submit(jobs::JobSpec spec, TimePoint deadline, std::function<void(Answer)> callback)
+{
+    const TimePoint began = BootClock::now();
+    const JobId id = spec.id;
+    Row row = {jobsTable, jobPart(id), id.value(), jobs::encodeJob(spec)};
+    if (row.value.size() > maxJobBytes) {
+        log::info("job_refused", {{"job", id.value()}, {"reason", "too large to store"}});
+        callback(Answer::Refused);
+        return;
+    }
+    m_acceptance.put(std::move(row), deadline,
+                     [this, id, began, queue = spec.queue.name,
+                      callback = std::move(callback)](Stored stored) {
+                         const Duration time = BootClock::now() - began;
+                         m_acceptTime.observe(time);
+                         log::info("job_submitted", {{"job", id.value()},
+                                                     {"queue", queue},
+                                                     {"stored", stored == Stored::Yes ? "yes"
+                                                              : stored == Stored::No
+                                                                      ? "no"
+                                                                      : "unknown"},
+                                                     {"time", time}});
+                         switch (stored) {
+                         case Stored::Yes:
+                             m_accepted.add();
+                             callback(Answer::Accepted);
+                             return;
+                         case Stored::No:
+                             m_refused.add();
+                             callback(Answer::Refused);
+                             return;
+                         case Stored::Unknown:
+                             m_unknown.add();
+                             callback(Answer::Unknown);
+                             return;
+                         }
+                     });
+}
+
+void Entry::cancel(const JobId &id, TimePoint deadline, std::function<void(Answer)> callback)
+{
+    readJob(id, deadline,
+            [this, id, deadline, callback = std::move(callback)](absl::StatusOr<bool> exists) {
+                if (!exists.ok() || !*exists) {
+                    callback(exists.ok() ? Answer::NotFound : Answer::Unavailable);
+                    return;
+                }
+                Row row = {jobsTable, jobPart(id), id.value() + cancelSuffix, "{}"};
+                m_acceptance.put(std::move(row), deadline, [id, callback](Stored stored) {
+                    log::info("cancel_submitted",
+                              {{"job", id.value()}, {"stored", stored == Stored::Yes}});
+                    callback(stored == Stored::Yes ? Answer::Accepted : Answer::Unknown);
+                });
+            });
+}
+
+void Entry::readJob(const JobId &id, TimePoint deadline,
+                    std::function<void(absl::StatusOr<bool>)> callback)
+{
+    m_store.read({.table = jobsTable, .part = jobPart(id), .from = id.value(),
+                  .until = id.value() + "\x01"},
+                 std::min(deadline, BootClock::now() + storeReadTimeout),
+                 [callback = std::move(callback)](const absl::StatusOr<Page> &page) {
+                     if (!page.ok())
+                         callback(page.status());
+                     else
+                         callback(!page->rows.empty());
+                 });
+}
+
+// Section: states
+
+void Entry::askOwner(const std::string &path, const std::string &query, TimePoint deadline,
+                     std::function<void(std::optional<Json::Value>)> callback)
+{
+    if (!m_ownerClient) {
+        callback(std::nullopt);
+        return;
+    }
+    http::Request request;
+    request.path = path;
+    request.query = query;
+    const TimePoint limit = std::min(deadline, BootClock::now() + ownerTimeout);
+    m_ownerClient->send(
+            std::move(request), limit,
+            [client = m_ownerClient, context = &m_context,
+             callback = std::move(callback)](absl::StatusOr<http::Response> response) {
+                std::optional<Json::Value> value;
+                if (response.ok() && response->status == 200) {
+                    absl::StatusOr<Json::Value> parsed = parseJson(response->body);
+                    if (parsed.ok())
+                        value = *std::move(parsed);
+                }
+                if (!value)
+                    log::debug("owner_unanswered", {});
+                // The client may be replaced meanwhile: it must not end inside its own callback.
+                boost::asio::post(*context, [client, callback, value] { callback(value); });
+            });
+}
+
+void Entry::state(const JobId &id, TimePoint deadline, std::function<void(StateAnswer)> callback)
+{
+    const auto onAnswer = [this, id, deadline,
+                           callback](const std::optional<StateAnswer> &answer) {
+        if (answer && answer->answer == Answer::Found)
+            callback(*answer);
+        else // the owner may not have heard of the job yet, or there is none
+            readState(id, deadline, callback);
+    };
+    if (m_owner.holder == m_member) {
+        m_local.state(id, [context = &m_context, onAnswer](std::optional<StateAnswer> answer) {
+            boost::asio::post(*context, [onAnswer, answer] { onAnswer(answer); });
+        });
+        return;
+    }
+    askOwner("/cell/job", "id=" + id.value(), deadline,
+             [onAnswer](const std::optional<Json::Value> &value) {
+                 std::optional<StateAnswer> answer;
+                 if (value && (*value)["state"].isString()) {
+                     const auto state = jobs::jobStateFromName((*value)["state"].asString());
+                     if (state)
+                         answer = StateAnswer{Answer::Found, *state};
+                 }
+                 onAnswer(answer);
+             });
+}
+
+// Without the owner, the store tells whether the job exists and whether it has ended.
+void Entry::readState(const JobId &id, TimePoint deadline,
+                      std::function<void(StateAnswer)> callback)
+{
+    readJob(id, deadline, [this, id, deadline,
+                           callback = std::move(callback)](absl::StatusOr<bool> exists) {
+        if (!exists.ok()) {
+            log::info("state_unavailable", {{"job", id.value()}, {"error", exists.status()}});
+            callback({Answer::Unavailable, {}});
+            return;
+        }
+        if (!*exists) {
+            callback({Answer::NotFound, {}});
+            return;
+        }
+        m_store.read({.table = progressTable, .part = ownerPart, .from = id.value(),
+                      .until = id.value() + "\x01"},
+                     std::min(deadline, BootClock::now() + storeReadTimeout),
+                     [id, callback](const absl::StatusOr<Page> &page) {
+                         if (!page.ok()) {
+                             log::info("state_unavailable",
+                                       {{"job", id.value()}, {"error", page.status()}});
+                             callback({Answer::Unavailable, {}});
+                             return;
+                         }
+                         StateAnswer answer = {Answer::Found, jobs::JobState::Queued};
+                         if (!page->rows.empty()) {
+                             const auto progress = jobs::decodeProgress(page->rows[0].value);
+                             answer.state =
+                                     progress.ok() ? progress->state : jobs::JobState::Running;
+                         }
+                         callback(answer);
+                     });
+    });
+}
+
+void Entry::onCounts(std::optional<Json::Value> counts)
+{
+    if (!counts)
+        return;
+    m_counts = *std::move(counts);
+    m_countsAt = BootClock::now();
+}
+
+void Entry::countWaiting(const std::string &queue, TimePoint deadline,
+                         std::function<void(CountAnswer)> callback)
+{
+    const auto onAnswer = [this, queue, callback](std::optional<Json::Value> counts) {
+        onCounts(std::move(counts));
+        if (BootClock::now() - m_countsAt > waitingCountAge) {
+            callback({Answer::Unavailable, 0});
+            return;
+        }
+        callback({Answer::Found, m_counts.get(queue, 0).asInt64()});
+    };
+    if (m_owner.holder == m_member) {
+        m_local.waiting([context = &m_context, onAnswer](std::optional<Json::Value> counts) {
+            boost::asio::post(*context, [onAnswer, counts] { onAnswer(counts); });
+        });
+        return;
+    }
+    askOwner("/cell/waiting", "", deadline, onAnswer);
+}
+
+} // namespace cwl::cell
--- /dev/null
+++ b/src/cell/entry.h
@@ -0,0 +1,110 @@
+// The callers' side of a member: accepts and cancels jobs by writing to the store, and asks the
+// owner for states. Lives on a traffic thread; needs no owner to accept a job.
+
+#pragma once
+
+#include "cell/acceptance.h"
+#include "cell/ownership.h"
+#include "cell/ports.h"
+#include "cell/tables.h"
+#include "http/client.h"
+#include "metrics/metrics.h"
+
+#include <boost/asio/io_context.hpp>
+#include <json/value.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace cwl::cell {
+
+// Section: limits
+
+constexpr Duration ownerTimeout = milliseconds(350);   // of a question to the owner
+constexpr Duration storeReadTimeout = milliseconds(900);
+constexpr Duration retryAfterRefusal = milliseconds(500); // told to refused clients
+constexpr Duration waitingCountAge = milliseconds(1500);  // of a count that is told again
+constexpr size_t maxJobTasks = 5000;                      // of one job
+constexpr size_t maxJobBytes = 45000; // stored form; a row of the store holds 65,536 in base64
+
+enum class Answer {
+    Accepted,    // stored, or cancelled
+    Refused,     // certainly not stored: come again later
+    Unknown,     // it may be stored
+    NotFound,    // no such job
+    Found,       // with a state or a count
+    Unavailable, // it can't be told now
+};
+
+struct StateAnswer
+{
+    Answer answer = Answer::Unavailable;
+    jobs::JobState state = jobs::JobState::Queued;
+};
+
+struct CountAnswer
+{
+    Answer answer = Answer::Unavailable;
+    int64_t waiting = 0;
+};
+
+// Questions to the owner when it is this process; run on the control thread, answer anywhere.
+struct LocalOwner
+{
+    std::function<void(JobId, std::function<void(std::optional<StateAnswer>)>)> state;
+    std::function<void(std::function<void(std::optional<Json::Value>)>)> waiting;
+};
+
+class Entry
+{
+public:
+    Entry(boost::asio::io_context &context, TableStore &store, std::string member,
+          LocalOwner local, metrics::Registry &metrics);
+
+    // Section: news from the control thread; called on the traffic thread
+
+    void setConfig(std::shared_ptr<const jobs::CellConfig> config);
+    void setOwner(const OwnerRow &owner);
+
+    // Section: callers
+
+    bool hasConfig() const { return m_config != nullptr; }
+    const jobs::CellConfig *config() const { return m_config.get(); }
+    // The queue with the longest prefix of `path`, or none.
+    const jobs::Queue *findQueue(const std::string &host, const std::string &path) const;
+
+    void submit(jobs::JobSpec spec, TimePoint deadline, std::function<void(Answer)> callback);
+    void cancel(const JobId &id, TimePoint deadline, std::function<void(Answer)> callback);
+    void state(const JobId &id, TimePoint deadline, std::function<void(StateAnswer)> callback);
+    void countWaiting(const std::string &queue, TimePoint deadline,
+                      std::function<void(CountAnswer)> callback);
+
+private:
+    void readState(const JobId &id, TimePoint deadline,
+                   std::function<void(StateAnswer)> callback);
+    void readJob(const JobId &id, TimePoint deadline,
+                 std::function<void(absl::StatusOr<bool>)> callback);
+    void askOwner(const std::string &path, const std::string &query, TimePoint deadline,
+                  std::function<void(std::optional<Json::Value>)> callback);
+    void onCounts(std::optional<Json::Value> counts);
+
+    boost::asio::io_context &m_context;
+    TableStore &m_store;
+    const std::string m_member;
+    const LocalOwner m_local;
+    Acceptance m_acceptance;
+    std::shared_ptr<const jobs::CellConfig> m_config;
+    OwnerRow m_owner = {};
+    std::shared_ptr<http::Client> m_ownerClient;
+    std::string m_ownerAddress;
+    Json::Value m_counts;
+    TimePoint m_countsAt = {};
+    metrics::Counter &m_accepted;
+    metrics::Counter &m_refused;
+    metrics::Counter &m_unknown;
+    metrics::Histogram &m_acceptTime;
+};
+
+} // namespace cwl::cell
--- /dev/null
+++ b/src/cell/member.cpp
@@ -0,0 +1,178 @@
+#include "cell/member.h"
+
+#include "base/error.h"
+#include "base/json.h"
+#include "base/random.h"
+#include "node/log.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/post.hpp>
+
+#include <utility>
+
+namespace cwl::cell {
+
+namespace asio = boost::asio;
+
+namespace {
+
+http::Response jsonResponse(const Json::Value &value)
+{
+    http::Response response;
+    response.headers.set("Content-Type", "application/json");
+    response.body = writeJson(value);
+    return response;
+}
+
+http::Response statusResponse(int status)
+{
+    http::Response response;
+    response.status = status;
+    return response;
+}
+
+// Value of `key` in a query such as "id=5c0e".
+std::string queryValue(const std::string &query, const std::string &key)
+{
+    const std::string start = key + "=";
+    return query.rfind(start, 0) == 0 ? query.substr(start.size()) : std::string();
+}
+
+} // namespace
+
+Member::Member(const CellSettings &settings, node::Node &node, PlatformLinks links)
+    : m_node(node)
+    , m_links(std::move(links))
+    , m_stopTimer(node.controlContext())
+{
+    const std::string member =
+            absl::StrCat(settings.process.instance.value(), "-", randomHexId().substr(0, 8));
+    OwnerOptions options;
+    options.member = member;
+    options.name = settings.process.instance.value();
+    options.address = absl::StrCat(settings.process.address, ":", settings.process.httpPort);
+    options.dispatcher = dispatcherSettings(settings);
+    m_owner = std::make_unique<Owner>(node.controlContext(), options, *m_links.controlStore,
+                                      *m_links.workers, *m_links.controlAdvice, m_links.reader,
+                                      node.metrics());
+    LocalOwner local;
+    local.state = [this](const JobId &id, std::function<void(std::optional<StateAnswer>)> answer) {
+        asio::post(m_node.controlContext(), [this, id, answer = std::move(answer)] {
+            std::optional<StateAnswer> found;
+            const auto state =
+                    m_owner->isActive() ? m_owner->jobState(id) : std::optional<jobs::JobState>();
+            if (state)
+                found = StateAnswer{Answer::Found, *state};
+            answer(found);
+        });
+    };
+    local.waiting = [this](std::function<void(std::optional<Json::Value>)> answer) {
+        asio::post(m_node.controlContext(), [this, answer = std::move(answer)] {
+            std::optional<Json::Value> counts;
+            if (m_owner->isActive())
+                counts = m_owner->waitingByQueue();
+            answer(counts);
+        });
+    };
+    m_entry = std::make_unique<Entry>(node.trafficContext(), *m_links.trafficStore, member,
+                                      std::move(local), node.metrics());
+    m_owner->configChanged = [this](const jobs::CellConfig &config) {
+        auto copy = std::make_shared<const jobs::CellConfig>(config);
+        asio::post(m_node.trafficContext(), [this, copy] { m_entry->setConfig(copy); });
+    };
+    m_owner->ownerChanged = [this](const OwnerRow &owner) {
+        asio::post(m_node.trafficContext(), [this, owner] { m_entry->setOwner(owner); });
+    };
+    addRoutes(node);
+    node.addReadyGate("config", [this] { return m_owner->hasConfig(); });
+    node.addReadyGate("store", [this] { return m_owner->canReachStore(BootClock::now()); });
+    node.addReadyGate("serving", [this] { return !m_isStopping; });
+    node.addState("cell", [this] { return m_owner->state(); });
+    node.onStop([this](const std::function<void()> &done) {
+        m_isStopping = true;
+        m_owner->resign([] { log::info("resigned"); });
+        m_stopTimer.expires_after(keepServing);
+        m_stopTimer.async_wait([done](boost::system::error_code) { done(); });
+    });
+    asio::post(node.controlContext(), [this] { m_owner->start(); });
+}
+
+bool Member::isReady() const
+{
+    return m_node.isReady() && !m_isStopping;
+}
+
+void Member::answerOnControl(const http::Responder &respond,
+                             std::function<std::optional<Json::Value>()> question)
+{
+    asio::post(m_node.controlContext(), [respond, question = std::move(question)] {
+        const std::optional<Json::Value> value = question();
+        respond(value ? jsonResponse(*value) : statusResponse(503));
+    });
+}
+
+void Member::addRoutes(node::Node &node)
+{
+    node.route("/cell/job", [this](const http::Request &request, const http::Responder &respond) {
+        const JobId id(queryValue(request.query, "id"));
+        answerOnControl(respond, [this, id]() -> std::optional<Json::Value> {
+            if (!m_owner->isActive())
+                return std::nullopt;
+            Json::Value value(Json::objectValue);
+            const std::optional<jobs::JobState> state = m_owner->jobState(id);
+            if (state)
+                value["state"] = jobs::jobStateName(*state);
+            return value;
+        });
+    });
+    node.route("/cell/explain",
+               [this](const http::Request &request, const http::Responder &respond) {
+                   const JobId id(queryValue(request.query, "id"));
+                   answerOnControl(respond, [this, id]() -> std::optional<Json::Value> {
+                       if (!m_owner->isActive())
+                           return std::nullopt;
+                       return m_owner->explain(id);
+                   });
+               });
+    node.route("/cell/waiting", [this](const http::Request &, const http::Responder &respond) {
+        answerOnControl(respond, [this]() -> std::optional<Json::Value> {
+            if (!m_owner->isActive())
+                return std::nullopt;
+            return m_owner->waitingByQueue();
+        });
+    });
+    node.route("/cell/owner", [this](const http::Request &, const http::Responder &respond) {
+        answerOnControl(respond, [this]() -> std::optional<Json::Value> {
+            Json::Value value;
+            value["epoch"] = Json::Int64(m_owner->heldEpoch().value());
+            return value;
+        });
+    });
+    node.route("/cell/advise",
+               [this](const http::Request &request, const http::Responder &respond) {
+                   advise(request, respond);
+               });
+}
+
+void Member::advise(const http::Request &request, const http::Responder &respond)
+{
+    const auto question = decodeAdviceQuestion(request.body);
+    if (!question.ok()) {
+        log::warn("advice_question_unreadable", {{"error", question.status()}});
+        respond(statusResponse(400));
+        return;
+    }
+    m_links.trafficAdvice->ask(
+            question->first, question->second, BootClock::now() + seconds(5),
+            [respond](const absl::StatusOr<std::vector<jobs::AllowedWorker>> &allowed) {
+                if (!allowed.ok()) {
+                    respond(statusResponse(503));
+                    return;
+                }
+                http::Response response;
+                response.body = encodeAdviceAnswer(*allowed);
+                respond(std::move(response));
+            });
+}
+
+} // namespace cwl::cell
--- /dev/null
+++ b/src/cell/member.h
@@ -0,0 +1,55 @@
+// One member of the cell: the owner's part on the control thread, the callers' part on the traffic
+// thread, and what members ask each other, on the node's HTTP port.
+
+#pragma once
+
+#include "cell/entry.h"
+#include "cell/owner.h"
+#include "cell/ports.h"
+#include "cell/settings.h"
+#include "node/node.h"
+
+#include <atomic>
+#include <memory>
+
+namespace cwl::cell {
+
+// Time between the signal to stop and the moment from which connections are closed: the balancer
+// notices within two looks a second apart, and clients go on using open connections.
+constexpr Duration keepServing = milliseconds(3600);
+constexpr Duration stopReserve = milliseconds(500); // before the platform kills the process
+
+// What the platform's adapter gives to a member: one of each for either thread.
+struct PlatformLinks
+{
+    std::unique_ptr<TableStore> controlStore;
+    std::unique_ptr<TableStore> trafficStore;
+    std::unique_ptr<WorkerGateway> workers;       // on the control thread
+    std::unique_ptr<AdviceService> controlAdvice; // asked by this member when it owns the cell
+    std::unique_ptr<AdviceService> trafficAdvice; // asked on behalf of another owner
+    RowReader reader;
+};
+
+class Member
+{
+public:
+    Member(const CellSettings &settings, node::Node &node, PlatformLinks links);
+
+    Entry &entry() { return *m_entry; }
+    bool isReady() const; // any thread
+
+private:
+    void addRoutes(node::Node &node);
+    void answerOnControl(const http::Responder &respond,
+                         std::function<std::optional<Json::Value>()> question);
+    void advise(const http::Request &request, const http::Responder &respond);
+
+    node::Node &m_node;
+    PlatformLinks m_links;
+    std::unique_ptr<Owner> m_owner;
+    std::unique_ptr<Entry> m_entry;
+    std::atomic<bool> m_isStopping = false;
+    boost::asio::basic_waitable_timer<BootClock> m_stopTimer;
+};
+
+} // namespace cwl::cell
--- /dev/null
+++ b/src/cell/owner.h
@@ -0,0 +1,158 @@
+// The member that owns the cell: loads what is stored, reads and fences the workers, carries out
+// the dispatcher's orders, and stores what they lead to. On members that do not own the cell it
+// only follows the owner and the configuration. Lives on the control thread.
+
+#pragma once
+
+#include "cell/advicerouter.h"
+#include "cell/ownership.h"
+#include "cell/ports.h"
+#include "cell/tablefollower.h"
+#include "jobs/dispatcher.h"
+#include "metrics/metrics.h"
+
+#include <boost/asio/basic_waitable_timer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <json/value.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cwl::cell {
+
+// Section: limits
+
+constexpr Duration tickInterval = milliseconds(50);      // between decisions without news
+constexpr Duration decideGap = milliseconds(2);          // news that arrive together, one decision
+constexpr Duration watchWait = milliseconds(1000);       // of one look at a worker
+constexpr Duration watchAnswerLimit = milliseconds(900); // beyond its wait
+constexpr Duration watchRetryPause = milliseconds(400);  // after a failed look
+constexpr Duration commitGap = milliseconds(12);         // ends that arrive together, one write
+constexpr Duration acknowledgeLimit = milliseconds(400); // a look waits so long for a write
+constexpr Duration membersInterval = seconds(2);         // between looks at the members' table
+constexpr Duration expiryInterval = seconds(5);          // between removals of old jobs
+constexpr Duration predecessorTimeout = milliseconds(500);
+constexpr double workerClockMargin = 1.03;               // a worker's clock is up to 2% slow
+
+struct OwnerOptions
+{
+    std::string member;  // id of this process
+    std::string name;    // of the instance
+    std::string address; // where it answers members, "ip:port"
+    jobs::DispatcherSettings dispatcher = {};
+};
+
+class Owner
+{
+public:
+    Owner(boost::asio::io_context &context, const OwnerOptions &options, TableStore &store,
+          WorkerGateway &workers, AdviceService &advice, const RowReader &reader,
+          metrics::Registry &metrics);
+    ~Owner();
+
+    void start();
+    void resign(std::function<void()> done); // other members take over
+
+    // Called with each configuration that comes into force, and with each change of the owner.
+    std::function<void(const jobs::CellConfig &config)> configChanged;
+    std::function<void(const OwnerRow &owner)> ownerChanged;
+
+    // Section: questions, answered only while this member owns the cell and has loaded it
+
+    bool isActive() const { return m_isActive; }
+    std::optional<jobs::JobState> jobState(const JobId &id) const;
+    Json::Value waitingByQueue() const;
+    Json::Value explain(const JobId &id) const;
+    Epoch heldEpoch() const; // 0: none
+    bool canReachStore(TimePoint now) const;
+    bool hasConfig() const { return m_config.version > 0; }
+    Json::Value state() const;
+
+private:
+    using Timer = boost::asio::basic_waitable_timer<BootClock>;
+    struct Watch;
+
+    // Section: becoming the owner (owner.cpp)
+    void won(Epoch epoch, const OwnerRow &previous);
+    void lost(const char *reason);
+    void load();
+    void askPredecessor(const OwnerRow &previous);
+    void onProgress(const Page &page);
+    void onOwnerRows(const Page &page);
+    void onJobsSnapshot(std::vector<Row> rows);
+    void onJobsChanged(const std::vector<Row> &rows);
+    void onWorkers(const std::vector<Row> &rows, bool isSnapshot);
+    void onConfig(const std::vector<Row> &rows);
+    void announce();
+    void readMembers();
+    void retryLoad();
+
+    // Section: running (owner.cpp)
+    void scheduleDecision();
+    void decide();
+    void carryOut(const jobs::Orders &orders);
+    void sendStart(const jobs::StartOrder &order);
+    void sendStop(const jobs::StopOrder &order);
+    void sendPace(const jobs::PaceOrder &order);
+    void sendQuery(const jobs::AdviceQuery &query);
+    bool isFenced(jobs::OrderAnswer answer);
+    void store();
+    void onStored(const jobs::Batch &batch);
+    void expire();
+    void tick();
+
+    // Section: looks at workers
+    void watch(const WorkerId &id);
+    void sendWatch(const std::shared_ptr<Watch> &entry);
+    void onWatched(const std::shared_ptr<Watch> &entry, TimePoint sentAt,
+                   const WatchResult &result);
+    void resumeWatches();
+
+    void after(Timer &timer, Duration pause, std::function<void()> action);
+
+    boost::asio::io_context &m_context;
+    const OwnerOptions m_options;
+    TableStore &m_store;
+    WorkerGateway &m_gateway;
+    const RowReader m_reader;
+    Ownership m_ownership;
+    jobs::Dispatcher m_dispatcher;
+    AdviceRouter m_advice;
+    jobs::CellConfig m_config;
+    TableFollower m_configFollower;
+    std::unique_ptr<TableFollower> m_jobsFollower;    // while owner
+    std::unique_ptr<TableFollower> m_workersFollower; // while owner
+    std::unordered_map<std::string, jobs::Progress> m_loadedProgress;
+    std::unordered_map<std::string, std::shared_ptr<Watch>> m_watches;
+    std::unordered_map<std::string, std::string> m_usedWorkers; // id to address, as to be stored
+    std::unique_ptr<http::Client> m_predecessor;
+    bool m_usedWorkersChanged = false;
+    bool m_isActive = false;
+    bool m_isDecisionDue = false;
+    uint64_t m_term = 0; // rises with each change of the ownership; old callbacks compare it
+    TimePoint m_termBegan = {};
+    TimePoint m_lastStore = {};
+    TimePoint m_nextExpiry = {};
+    Timer m_decideTimer;
+    Timer m_storeTimer;
+    Timer m_tickTimer;
+    Timer m_loadTimer;
+    Timer m_membersTimer;
+    Timer m_announceTimer;
+    bool m_isAnnounced = false;
+
+    metrics::Counter &m_startsSent;
+    metrics::Counter &m_endsSeen;
+    metrics::Counter &m_takeovers;
+    metrics::Histogram &m_decideTime;
+    metrics::Histogram &m_commitTime;
+    metrics::Histogram &m_orderTime;
+    metrics::Histogram &m_recoveryTime;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace cwl::cell
--- /dev/null
+++ b/src/cell/ownership.cpp
@@ -0,0 +1,389 @@
+#include "cell/ownership.h"
+
+#include "base/error.h"
+#include "base/random.h"
+#include "node/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cwl::cell {
+
+// One write of the owner, sent again as it is until its outcome is known.
+struct Ownership::Pending
+{
+    Transaction transaction;
+    OwnerRow row;
+    TimePoint sentAt = {};
+    Committed committed;
+    bool isResignation = false;
+};
+
+Ownership::Ownership(boost::asio::io_context &context, TableStore &store, std::string member,
+                     std::string address, OwnershipEvents events)
+    : m_store(store)
+    , m_member(std::move(member))
+    , m_address(std::move(address))
+    , m_events(std::move(events))
+    , m_followTimer(context)
+    , m_takeoverTimer(context)
+    , m_renewTimer(context)
+    , m_sendTimer(context)
+    , m_random(randomSeed())
+    , m_leaseChanged(BootClock::now())
+    , m_lastAnswer(BootClock::now())
+{
+}
+
+Ownership::~Ownership()
+{
+    *m_alive = false;
+}
+
+void Ownership::after(Timer &timer, Duration pause, std::function<void()> action)
+{
+    timer.expires_after(pause);
+    timer.async_wait([alive = m_alive, action = std::move(action)](boost::system::error_code error) {
+        if (!error && *alive)
+            action();
+    });
+}
+
+void Ownership::start()
+{
+    readLease();
+}
+
+bool Ownership::isValid(TimePoint now) const
+{
+    return m_isOwner && now - m_lastCommit < maxStoreAbsence;
+}
+
+// Section: following the owner
+
+void Ownership::readLease()
+{
+    m_store.read({.table = leaseTable, .part = ownerPart, .from = ownerKey},
+                 BootClock::now() + storeCallTimeout,
+                 [this, alive = m_alive](const absl::StatusOr<Page> &page) {
+                     if (!*alive)
+                         return;
+                     if (!page.ok()) {
+                         onFollowFailed(page.status());
+                         return;
+                     }
+                     m_lastAnswer = BootClock::now();
+                     if (!page->rows.empty())
+                         onLease(page->rows.front());
+                     m_leaseSeen = page->revision;
+                     if (page->rows.empty() && !m_isOwner)
+                         takeOver();
+                     follow();
+                 });
+}
+
+void Ownership::follow()
+{
+    const TimePoint now = BootClock::now();
+    m_store.changes(leaseTable, m_leaseSeen, followWait, now + followWait + followTimeout,
+                    [this, alive = m_alive](const absl::StatusOr<Page> &page) {
+                        if (!*alive)
+                            return;
+                        if (!page.ok()) {
+                            onFollowFailed(page.status());
+                            return;
+                        }
+                        if (std::exchange(m_isStoreLost, false))
+                            log::info("store_regained", {{"table", leaseTable}});
+                        m_lastAnswer = BootClock::now();
+                        for (const Row &row : page->rows)
+                            onLease(row);
+                        m_leaseSeen = std::max(m_leaseSeen, page->revision);
+                        considerTakeover();
+                        follow();
+                    });
+}
+
+void Ownership::onFollowFailed(const absl::Status &status)
+{
+    const bool isHistoryLost = failureOf(status) == Failure::HistoryLost;
+    if (!isHistoryLost && !std::exchange(m_isStoreLost, true))
+        log::warn("store_lost", {{"table", leaseTable}, {"error", status}});
+    after(m_followTimer, isHistoryLost ? Duration::zero() : storeRetryPause, [this] { readLease(); });
+}
+
+void Ownership::onLease(const Row &row)
+{
+    if (row.key != ownerKey || row.isDeleted)
+        return;
+    const absl::StatusOr<OwnerRow> lease = decodeOwner(row.value);
+    if (!lease.ok()) {
+        log::warn("owner_row_unreadable", {{"error", lease.status()}});
+        return;
+    }
+    if (lease->epoch < m_owner.epoch)
+        return;
+    if (*lease == m_owner)
+        return;
+    m_leaseChanged = BootClock::now();
+    const bool isNew = lease->epoch != m_owner.epoch || lease->holder != m_owner.holder;
+    if (m_isOwner && lease->epoch > m_owner.epoch)
+        lose("newer owner in the store");
+    const OwnerRow seen = *lease;
+    if (!m_isOwner)
+        m_owner = seen;
+    if (isNew && !m_isOwner) {
+        log::info("owner_seen", {{"epoch", seen.epoch.value()},
+                                 {"holder", seen.holder},
+                                 {"revision", row.revision.value()}});
+        m_events.changed(m_owner);
+    }
+}
+
+// Section: takeover
+
+void Ownership::considerTakeover()
+{
+    if (m_isOwner || m_isTakingOver || m_isStopped)
+        return;
+    const bool isVacant = m_owner.holder.empty();
+    if (!isVacant && BootClock::now() - m_leaseChanged < silenceLimit)
+        return;
+    m_isTakingOver = true;
+    const auto longest = isVacant ? takeoverJitter / 5 : takeoverJitter;
+    const Duration pause(int64_t(m_random() % uint64_t(longest.count())));
+    after(m_takeoverTimer, pause, [this] {
+        m_isTakingOver = false;
+        const bool isStillSilent = m_owner.holder.empty()
+                || BootClock::now() - m_leaseChanged >= silenceLimit;
+        if (!m_isOwner && isStillSilent)
+            takeOver();
+    });
+}
+
+void Ownership::takeOver()
+{
+    if (m_isTakingOver || m_isOwner || m_isStopped)
+        return;
+    m_isTakingOver = true;
+    m_store.read({.table = ownerTable, .part = ownerPart, .from = ownerKey,
+                  .until = std::string(ownerKey) + "!"},
+                 BootClock::now() + storeCallTimeout,
+                 [this, alive = m_alive](const absl::StatusOr<Page> &page) {
+                     if (!*alive)
+                         return;
+                     m_isTakingOver = false;
+                     if (!page.ok()) {
+                         log::warn("takeover_failed", {{"error", page.status()}});
+                         return;
+                     }
+                     OwnerRow previous;
+                     Revision revision;
+                     if (!page->rows.empty()) {
+                         const absl::StatusOr<OwnerRow> row = decodeOwner(page->rows[0].value);
+                         if (!row.ok()) {
+                             log::error("owner_row_unreadable", {{"error", row.status()}});
+                             return;
+                         }
+                         previous = *row;
+                         revision = page->rows[0].revision;
+                     }
+                     writeTakeover(previous, revision);
+                 });
+}
+
+void Ownership::writeTakeover(const OwnerRow &previous, Revision revision)
+{
+    m_isTakingOver = true;
+    const OwnerRow next = {previous.epoch + Epoch(1), m_member, m_address, 1};
+    const std::string value = encodeOwner(next);
+    Transaction transaction;
+    transaction.expected = {{ownerTable, ownerPart, ownerKey, {}, revision}};
+    transaction.writes = {{ownerTable, ownerPart, ownerKey, value},
+                          {leaseTable, ownerPart, ownerKey, value}};
+    const TimePoint sentAt = BootClock::now();
+    m_store.commit(
+            transaction, sentAt + storeCallTimeout,
+            [this, alive = m_alive, previous, next, sentAt,
+             revision](const absl::StatusOr<TransactionResult> &result) {
+                if (!*alive)
+                    return;
+                m_isTakingOver = false;
+                if (!result.ok()) {
+                    log::warn("takeover_failed",
+                              {{"epoch", next.epoch.value()}, {"error", result.status()}});
+                    if (failureOf(result.status()) == Failure::StoreOutcomeUnknown
+                        && BootClock::now() - m_lastAnswer < seconds(2))
+                        writeTakeover(previous, revision);
+                    return;
+                }
+                if (result->isCommitted) {
+                    m_lastCommit = sentAt;
+                    m_owner = next;
+                    win(previous, result->revision);
+                    return;
+                }
+                // An earlier attempt whose answer was lost may have taken effect.
+                for (const Row &row : result->current) {
+                    const absl::StatusOr<OwnerRow> current = decodeOwner(row.value);
+                    if (row.table == ownerTable && current.ok() && *current == next) {
+                        m_lastCommit = sentAt;
+                        m_owner = next;
+                        win(previous, row.revision);
+                        return;
+                    }
+                }
+                log::info("takeover_lost", {{"epoch", next.epoch.value()}});
+            });
+}
+
+void Ownership::win(const OwnerRow &previous, Revision revision)
+{
+    m_isOwner = true;
+    m_revision = revision;
+    m_leaseChanged = BootClock::now();
+    m_lastRenewal = m_lastCommit;
+    log::info("ownership_won", {{"epoch", m_owner.epoch.value()},
+                                {"previous_holder", previous.holder},
+                                {"revision", revision.value()}});
+    m_events.changed(m_owner);
+    m_events.won(m_owner.epoch, previous);
+    after(m_renewTimer, renewInterval, [this] { renew(); });
+}
+
+// Section: the owner's writes
+
+void Ownership::renew()
+{
+    if (!m_isOwner)
+        return;
+    const TimePoint now = BootClock::now();
+    if (!isValid(now)) {
+        lose("the store has been out of reach for too long");
+        return;
+    }
+    if (!m_pending && now - m_lastRenewal >= renewInterval)
+        commit({}, {}, {});
+    const Duration left = renewInterval - (BootClock::now() - m_lastRenewal);
+    after(m_renewTimer, std::max<Duration>(left, milliseconds(20)), [this] { renew(); });
+}
+
+bool Ownership::commit(std::vector<Row> writes, std::vector<Row> removals, Committed committed)
+{
+    if (!m_isOwner || m_pending || m_isResigning)
+        return false;
+    auto pending = std::make_shared<Pending>();
+    pending->row = m_owner;
+    ++pending->row.number;
+    pending->transaction.expected = {{ownerTable, ownerPart, ownerKey, {}, m_revision}};
+    pending->transaction.writes = std::move(writes);
+    pending->transaction.removals = std::move(removals);
+    const std::string value = encodeOwner(pending->row);
+    pending->transaction.writes.push_back({ownerTable, ownerPart, ownerKey, value});
+    const TimePoint now = BootClock::now();
+    if (now - m_lastRenewal >= renewInterval) {
+        m_lastRenewal = now;
+        pending->transaction.writes.push_back({leaseTable, ownerPart, ownerKey, value});
+    }
+    pending->committed = std::move(committed);
+    m_pending = std::move(pending);
+    send();
+    return true;
+}
+
+void Ownership::send()
+{
+    const std::shared_ptr<Pending> pending = m_pending;
+    if (!pending || !m_isOwner)
+        return;
+    pending->sentAt = BootClock::now();
+    m_store.commit(pending->transaction, pending->sentAt + storeCallTimeout,
+                   [this, alive = m_alive, pending](
+                           const absl::StatusOr<TransactionResult> &result) {
+                       if (*alive && m_pending == pending)
+                           onSent(pending, result);
+                   });
+}
+
+void Ownership::onSent(const std::shared_ptr<Pending> &pending,
+                       const absl::StatusOr<TransactionResult> &result)
+{
+    if (!result.ok()) {
+        log::info("owner_write_failed", {{"number", pending->row.number},
+                                         {"rows", pending->transaction.writes.size()},
+                                         {"error", result.status()}});
+        after(m_sendTimer, storeRetryPause, [this] { send(); });
+        return;
+    }
+    if (result->isCommitted) {
+        settle(pending, result->revision);
+        return;
+    }
+    for (const Row &row : result->current) {
+        const absl::StatusOr<OwnerRow> current = decodeOwner(row.value);
+        if (row.table == ownerTable && current.ok() && *current == pending->row) {
+            settle(pending, row.revision); // its first answer was lost
+            return;
+        }
+    }
+    lose("another member has written the owner's row");
+}
+
+void Ownership::settle(const std::shared_ptr<Pending> &pending, Revision revision)
+{
+    m_pending.reset();
+    m_owner = pending->row;
+    m_revision = revision;
+    m_lastCommit = pending->sentAt;
+    if (pending->isResignation)
+        lose("resigned");
+    if (pending->committed)
+        pending->committed();
+}
+
+void Ownership::resign(std::function<void()> done)
+{
+    m_isStopped = true;
+    if (!m_isOwner) {
+        done();
+        return;
+    }
+    if (m_pending) {
+        after(m_takeoverTimer, milliseconds(20),
+              [this, done = std::move(done)] { resign(done); });
+        return;
+    }
+    m_isResigning = true;
+    auto pending = std::make_shared<Pending>();
+    pending->row = m_owner;
+    ++pending->row.number;
+    pending->row.holder.clear();
+    pending->isResignation = true;
+    pending->committed = std::move(done);
+    const std::string value = encodeOwner(pending->row);
+    pending->transaction.expected = {{ownerTable, ownerPart, ownerKey, {}, m_revision}};
+    pending->transaction.writes = {{ownerTable, ownerPart, ownerKey, value},
+                                   {leaseTable, ownerPart, ownerKey, value}};
+    m_pending = std::move(pending);
+    send();
+}
+
+void Ownership::depose(const char *reason)
+{
+    if (m_isOwner)
+        lose(reason);
+}
+
+void Ownership::lose(const char *reason)
+{
+    if (!std::exchange(m_isOwner, false))
+        return;
+    const std::shared_ptr<Pending> pending = std::exchange(m_pending, nullptr);
+    log::warn("ownership_lost", {{"epoch", m_owner.epoch.value()}, {"reason", reason}});
+    m_leaseChanged = BootClock::now();
+    m_events.lost(reason);
+    if (m_isResigning && pending && pending->isResignation && pending->committed)
+        pending->committed();
+}
+
+} // namespace cwl::cell
--- /dev/null
+++ b/src/cell/ownership.h
@@ -0,0 +1,125 @@
+// Which member owns the cell, agreed through one row of the platform's store.
+//
+// The row names the epoch and its holder. Each write of the holder is conditional on the row's
+// revision and renews it, so that the holder's writes follow one another and a deposed holder
+// writes nothing. A write whose answer was lost is sent again as it was: the row's number tells
+// whether it took effect. All members follow a second row that the holder writes at least every
+// `renewInterval`; when it stays the same for `silenceLimit` while the store answers, any member
+// may write the next epoch. Workers keep the highest epoch that they have seen and refuse orders
+// of lower ones.
+
+#pragma once
+
+#include "base/clock.h"
+#include "cell/ports.h"
+#include "cell/tables.h"
+
+#include <boost/asio/basic_waitable_timer.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace cwl::cell {
+
+// Section: limits
+
+constexpr Duration renewInterval = milliseconds(400);
+constexpr Duration silenceLimit = milliseconds(1600);  // four renewals
+constexpr Duration takeoverJitter = milliseconds(250); // so that members do not all write at once
+constexpr Duration followWait = milliseconds(500);     // of one look at the renewals
+constexpr Duration followTimeout = milliseconds(1200); // beyond its wait
+constexpr Duration storeCallTimeout = milliseconds(1500);
+constexpr Duration storeRetryPause = milliseconds(150);
+// An owner that has not reached the store for this long starts and renews nothing. Longer than
+// the outages that running work is to outlive.
+constexpr Duration maxStoreAbsence = seconds(12);
+
+struct OwnershipEvents
+{
+    // This member owns the cell from now on. `previous` is the row that it replaced.
+    std::function<void(Epoch epoch, const OwnerRow &previous)> won;
+    std::function<void(const char *reason)> lost;
+    std::function<void(const OwnerRow &owner)> changed; // the holder, as far as is known
+};
+
+class Ownership
+{
+public:
+    using Timer = boost::asio::basic_waitable_timer<BootClock>;
+    using Committed = std::function<void()>;
+
+    Ownership(boost::asio::io_context &context, TableStore &store, std::string member,
+              std::string address, OwnershipEvents events);
+    ~Ownership();
+
+    void start();
+
+    bool isOwner() const { return m_isOwner; }
+    Epoch epoch() const { return m_owner.epoch; }
+    const OwnerRow &owner() const { return m_owner; }
+    // False once the owner has been without the store for too long.
+    bool isValid(TimePoint now) const;
+    TimePoint lastAnswer() const { return m_lastAnswer; } // of the store, to the follower
+
+    // Writes rows of the owner's part under the owner's condition; `committed` follows once they
+    // are stored, and never if the ownership is lost before. One write at a time; returns false
+    // while one is on its way.
+    bool commit(std::vector<Row> writes, std::vector<Row> removals, Committed committed);
+    bool isCommitting() const { return m_pending != nullptr; }
+
+    // Ends the ownership: the last write says so. Other members take over at once.
+    void resign(std::function<void()> done);
+
+    // A worker or a member has seen a newer owner.
+    void depose(const char *reason);
+
+private:
+    struct Pending;
+
+    void follow();
+    void readLease();
+    void onLease(const Row &row);
+    void onFollowFailed(const absl::Status &status);
+    void considerTakeover();
+    void takeOver();
+    void writeTakeover(const OwnerRow &previous, Revision revision);
+    void win(const OwnerRow &previous, Revision revision);
+    void renew();
+    void send();
+    void onSent(const std::shared_ptr<Pending> &pending,
+                const absl::StatusOr<TransactionResult> &result);
+    void settle(const std::shared_ptr<Pending> &pending, Revision revision);
+    void lose(const char *reason);
+    void after(Timer &timer, Duration pause, std::function<void()> action);
+
+    TableStore &m_store;
+    const std::string m_member;
+    const std::string m_address;
+    const OwnershipEvents m_events;
+    Timer m_followTimer;
+    Timer m_takeoverTimer;
+    Timer m_renewTimer;
+    Timer m_sendTimer;
+    std::mt19937_64 m_random;
+    OwnerRow m_owner = {};      // as last seen
+    Revision m_revision = {};   // of the owner's row, while this member owns
+    Revision m_leaseSeen = {};  // revision of the followed row
+    TimePoint m_leaseChanged;   // when the followed row was last seen to change
+    TimePoint m_lastAnswer;
+    TimePoint m_lastCommit = {}; // send time of the last write that took effect
+    TimePoint m_lastRenewal = {};
+    bool m_isOwner = false;
+    bool m_isTakingOver = false;
+    bool m_isResigning = false;
+    bool m_isStoreLost = false;
+    bool m_isStopped = false;
+    std::shared_ptr<Pending> m_pending;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace cwl::cell
--- /dev/null
+++ b/src/cell/ports.h
@@ -0,0 +1,141 @@
+// The platform as the cell sees it: versioned tables, workers and the advice service. What is
+// behind these interfaces speaks the platform's protocol; it only translates.
+//
+// Callbacks run on the thread of the io_context that the implementation was made with, once each.
+
+#pragma once
+
+#include "base/clock.h"
+#include "base/units.h"
+#include "jobs/dispatcher.h"
+#include "jobs/types.h"
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cwl::cell {
+
+// Section: tables
+
+struct Row
+{
+    std::string table;
+    std::string part; // rows of one part are written together
+    std::string key;
+    std::string value = {};   // any bytes
+    Revision revision = {};   // 0: the row is absent
+    bool isDeleted = false;   // in a feed
+};
+
+struct Transaction
+{
+    std::vector<Row> expected = {}; // table, part, key, revision; all must hold
+    std::vector<Row> writes = {};
+    std::vector<Row> removals = {};
+};
+
+// A transaction took effect, or one of its conditions did not hold.
+struct TransactionResult
+{
+    bool isCommitted = false;
+    Revision revision = {};         // of the rows written
+    std::vector<Row> current = {};  // of the rows expected, where a condition did not hold
+};
+
+struct Range
+{
+    std::string table;
+    std::string part = {};
+    std::string from = {};  // first key
+    std::string until = {}; // first key after the range; empty: to the end
+};
+
+struct Page
+{
+    std::vector<Row> rows = {};
+    bool hasMore = false;
+    Revision revision = {}; // of the store
+};
+
+// Failures: StoreUnavailable (certainly nothing was done), StoreOutcomeUnknown (it may have been
+// done, or may be done later), HistoryLost (changes() only: read the table anew), ProtocolError.
+class TableStore
+{
+public:
+    using TransactionCallback = std::function<void(absl::StatusOr<TransactionResult>)>;
+    using PageCallback = std::function<void(absl::StatusOr<Page>)>;
+
+    virtual ~TableStore() = default;
+    virtual void commit(const Transaction &transaction, TimePoint deadline,
+                        TransactionCallback callback) = 0;
+    virtual void read(const Range &range, TimePoint deadline, PageCallback callback) = 0;
+    // Answers as soon as there is a change after `after`, or without one after `wait`.
+    virtual void changes(const std::string &table, Revision after, Duration wait,
+                         TimePoint deadline, PageCallback callback) = 0;
+};
+
+// Section: workers
+
+struct WorkerTarget
+{
+    WorkerId id;
+    std::string address;
+};
+
+// The answer to a look: a report, or why there is none.
+struct WatchResult
+{
+    jobs::OrderAnswer answer = jobs::OrderAnswer::Unknown; // Accepted: `report` holds
+    jobs::WorkerReport report = {};
+};
+
+class WorkerGateway
+{
+public:
+    using OrderCallback = std::function<void(jobs::OrderAnswer)>;
+    using WatchCallback = std::function<void(WatchResult)>;
+
+    virtual ~WorkerGateway() = default;
+    virtual void start(const jobs::StartOrder &order, Epoch epoch, TimePoint deadline,
+                       OrderCallback callback) = 0;
+    virtual void stop(const jobs::StopOrder &order, Epoch epoch, TimePoint deadline,
+                      OrderCallback callback) = 0;
+    virtual void pace(const jobs::PaceOrder &order, Epoch epoch, TimePoint deadline,
+                      OrderCallback callback) = 0;
+    // Answers when a run ends, or after `wait`.
+    virtual void watch(const WorkerTarget &target, const jobs::WatchOrder &order, Epoch epoch,
+                       Duration wait, TimePoint deadline, WatchCallback callback) = 0;
+    virtual void forget(const WorkerTarget &target) = 0; // closes its connections
+};
+
+// Section: advice
+
+class AdviceService
+{
+public:
+    using Callback = std::function<void(absl::StatusOr<std::vector<jobs::AllowedWorker>>)>;
+
+    virtual ~AdviceService() = default;
+    virtual void ask(const std::string &step, const std::vector<WorkerId> &workers,
+                     TimePoint deadline, Callback callback) = 0;
+};
+
+// Section: what operators and workers write
+
+// Reads the rows that others than the system write. Error: MalformedBody; such a row is passed
+// over.
+struct RowReader
+{
+    absl::StatusOr<jobs::CellConfig> (*config)(const std::string &value) = nullptr;
+    absl::StatusOr<jobs::WorkerEntry> (*worker)(const std::string &id,
+                                                const std::string &value) = nullptr;
+    std::string configTable;  // with the row of the configuration ...
+    std::string configKey;    // ... under this key
+    std::string workersTable; // with a row for each worker, under its id
+};
+
+} // namespace cwl::cell
--- /dev/null
+++ b/src/cell/settings.h
@@ -0,0 +1,37 @@
+// Settings of the cell's process: those of every process, the addresses that it serves, and the
+// platform's figures that bound its decisions. JSON with comments.
+
+#pragma once
+
+#include "jobs/dispatcher.h"
+#include "settings/processsettings.h"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <string>
+
+namespace cwl::cell {
+
+struct CellSettings
+{
+    settings::ProcessSettings process;
+    std::string callersAddress;   // "ip:port" that clients reach
+    std::string readinessAddress; // "ip:port" that the platform's balancer asks
+    std::string adviceAddress;    // "ip:port" of the advice service; empty: none
+    uint16_t metricsPort = 0;     // 0: metrics only beside the other admin pages
+    int64_t maxLeaseMs = 0;       // a worker shortens longer leases
+    int64_t stopGraceMs = 0;      // the process is killed so long after the signal to stop
+};
+
+// The lease that the cell gives: shorter than the longest one, so that what runs on a lost worker
+// starts elsewhere soon; longer than a change of the owner takes.
+constexpr int64_t wantedLeaseMs = 4500;
+
+jobs::DispatcherSettings dispatcherSettings(const CellSettings &settings);
+
+// Reads and checks a file. Error: InvalidSettings with file, line or key, and the allowed range.
+absl::StatusOr<CellSettings> loadCellSettings(const std::string &path);
+absl::StatusOr<CellSettings> parseCellSettings(const std::string &text, const std::string &name);
+
+} // namespace cwl::cell
--- /dev/null
+++ b/src/cell/tablefollower.h
@@ -0,0 +1,64 @@
+// Follows a table of the platform's store: all of its rows first, then each change.
+
+#pragma once
+
+#include "cell/ports.h"
+
+#include <boost/asio/basic_waitable_timer.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cwl::cell {
+
+struct FollowOptions
+{
+    std::string table;
+    std::vector<std::string> parts = {""}; // read for the snapshot
+    Duration wait = milliseconds(1000);    // of one look for changes
+};
+
+struct FollowEvents
+{
+    std::function<void(std::vector<Row>)> snapshot; // all rows, also after a gap in the history
+    std::function<void(std::vector<Row>)> changed;  // in the order of their revisions
+};
+
+constexpr Duration followAnswerLimit = milliseconds(1000); // beyond the wait; then it is sent anew
+constexpr Duration followRetryPause = milliseconds(150);
+
+// Rows of several parts of a table, page by page. Calls `done` once, with the revision from which
+// on changes may be missing, or with the first failure.
+void readParts(TableStore &store, const std::string &table, std::vector<std::string> parts,
+               std::function<void(absl::StatusOr<Page>)> done);
+
+class TableFollower
+{
+public:
+    TableFollower(boost::asio::io_context &context, TableStore &store, FollowOptions options,
+                  FollowEvents events);
+    ~TableFollower();
+
+    void start();
+
+    TimePoint lastAnswer() const { return m_lastAnswer; } // of the store; zero: none yet
+
+private:
+    void readAll();
+    void follow();
+    void onFailure(const absl::Status &status);
+
+    TableStore &m_store;
+    const FollowOptions m_options;
+    const FollowEvents m_events;
+    boost::asio::basic_waitable_timer<BootClock> m_timer;
+    Revision m_seen = {};
+    TimePoint m_lastAnswer = {};
+    bool m_isLost = false;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace cwl::cell
--- /dev/null
+++ b/src/cell/tables.h
@@ -0,0 +1,46 @@
+// The cell's own tables: names, parts, and the rows that carry ownership.
+
+#pragma once
+
+#include "base/units.h"
+#include "cell/ports.h"
+
+#include <absl/status/statusor.h>
+
+#include <string>
+
+namespace cwl::cell {
+
+// Section: names
+
+constexpr const char *jobsTable = "jobs";         // accepted jobs and cancellations, by id
+constexpr const char *progressTable = "progress"; // what is known for good of each job
+constexpr const char *ownerTable = "owner";       // the one owner; conditions of all its writes
+constexpr const char *leaseTable = "lease";       // renewals of the owner, followed by all members
+constexpr const char *membersTable = "members";   // addresses of the members
+constexpr const char *ownerPart = "owner";        // part of all rows that the owner writes
+constexpr const char *ownerKey = "owner";
+constexpr const char *workersKey = "workers";     // in the owner's table: workers that it has used
+constexpr const char *cancelSuffix = "!cancel";   // follows the id in the key of a cancellation
+
+// Jobs are spread over parts by their id: a part carries out its transactions one by one.
+constexpr size_t jobParts = 8;
+std::string jobPart(const JobId &id);
+std::string jobPartName(size_t number);
+
+// Section: rows
+
+struct OwnerRow
+{
+    Epoch epoch = {};
+    std::string holder = {};  // member; empty: resigned
+    std::string address = {}; // where the holder answers members, "ip:port"
+    int64_t number = 0;       // of the write; rises within an epoch
+
+    bool operator==(const OwnerRow &) const = default;
+};
+
+std::string encodeOwner(const OwnerRow &row);
+absl::StatusOr<OwnerRow> decodeOwner(const std::string &text); // Error: MalformedBody
+
+} // namespace cwl::cell
--- /dev/null
+++ b/src/jobs/dispatcher.cpp
@@ -0,0 +1,494 @@
+#include "jobs/dispatcher.h"
+
+#include "node/log.h"
+
+#include <algorithm>
+
+namespace cwl::jobs {
+
+namespace {
+
+// Longest chain of estimated work through the steps.
+Duration longestChain(const std::vector<Step> &steps)
+{
+    std::vector<Duration> ends(steps.size());
+    Duration longest = {};
+    for (size_t number = 0; number < steps.size(); ++number) {
+        Duration begin = {};
+        for (const uint32_t before : steps[number].after) {
+            if (before < number)
+                begin = std::max(begin, ends[before]);
+        }
+        ends[number] = begin + steps[number].estimate;
+        longest = std::max(longest, ends[number]);
+    }
+    return longest;
+}
+
+Duration objectiveOf(const JobSpec &spec)
+{
+    const auto chain = double(longestChain(spec.steps).count());
+    return Duration(int64_t(chain * spec.queue.stretch)) + spec.queue.allowance;
+}
+
+constexpr int lateFactor = 3; // up to this many times the objective a job earns a part
+
+} // namespace
+
+Dispatcher::Dispatcher(const DispatcherSettings &settings)
+    : m_settings(settings)
+{
+}
+
+Dispatcher::~Dispatcher() = default;
+
+// Section: ownership
+
+void Dispatcher::begin(Epoch epoch, TimePoint predecessorEnds)
+{
+    m_epoch = epoch;
+    m_predecessorEnds = predecessorEnds;
+    m_isSettledForGood = false;
+    m_workers.clear();
+    m_jobs.clear();
+    m_open.clear();
+    m_dirty.clear();
+    m_hasUnstoredEnds = false;
+}
+
+void Dispatcher::setPredecessorEnds(TimePoint latest)
+{
+    m_predecessorEnds = std::min(m_predecessorEnds, latest);
+    for (auto &[id, worker] : m_workers) {
+        if (!worker->isRead)
+            worker->leaseEnds = std::min(worker->leaseEnds, m_predecessorEnds);
+    }
+}
+
+// Section: configuration and workers
+
+void Dispatcher::setConfig(const CellConfig &config)
+{
+    m_queues.clear();
+    for (const Queue &queue : config.queues)
+        m_queues.emplace(queue.name, queue);
+    // Jobs of a queue that was removed keep the settings with which they were accepted.
+    for (Job *job : m_open) {
+        const auto queue = m_queues.find(job->spec.queue.name);
+        if (queue != m_queues.end())
+            job->spec.queue = queue->second;
+    }
+}
+
+void Dispatcher::putWorker(const WorkerEntry &entry, TimePoint now)
+{
+    std::unique_ptr<Worker> &worker = m_workers[entry.id.value()];
+    if (!worker) {
+        worker = std::make_unique<Worker>();
+        worker->leaseEnds = m_predecessorEnds;
+        worker->lastReport = now;
+    }
+    const bool beganDraining = entry.isDraining && !worker->entry.isDraining;
+    const Resources capacity = entry.capacity;
+    worker->entry = entry;
+    worker->entry.capacity = capacity;
+    worker->isListed = true;
+    if (entry.isDraining && entry.remaining)
+        worker->drainDeadline = now + *entry.remaining;
+    if (beganDraining)
+        log::info("worker_draining", {{"worker", entry.id.value()},
+                                      {"remaining", entry.remaining.value_or(Duration::zero())},
+                                      {"runs", worker->runs.size()}});
+}
+
+void Dispatcher::unlistWorker(const WorkerId &id, TimePoint now)
+{
+    const auto worker = m_workers.find(id.value());
+    if (worker == m_workers.end() || !worker->second->isListed)
+        return;
+    worker->second->isListed = false;
+    log::info("worker_unlisted", {{"worker", id.value()},
+                                  {"runs", worker->second->runs.size()},
+                                  {"lease_left", worker->second->leaseEnds - now}});
+}
+
+std::vector<WorkerId> Dispatcher::knownWorkers() const
+{
+    std::vector<WorkerId> ids;
+    ids.reserve(m_workers.size());
+    for (const auto &[id, worker] : m_workers)
+        ids.emplace_back(id);
+    return ids;
+}
+
+const Worker *Dispatcher::findWorker(const WorkerId &id) const
+{
+    const auto worker = m_workers.find(id.value());
+    return worker == m_workers.end() ? nullptr : worker->second.get();
+}
+
+WatchOrder Dispatcher::watchOrder(const WorkerId &id, TimePoint now)
+{
+    Worker &worker = *m_workers.at(id.value());
+    WatchOrder order;
+    order.acknowledged = worker.endsAcknowledged;
+    if (worker.isRead)
+        order.leaseUntilMs = leaseDeadline(worker, now);
+    return order;
+}
+
+bool Dispatcher::isForgettable(const WorkerId &id, TimePoint now) const
+{
+    const Worker *const worker = findWorker(id);
+    return worker && !worker->isListed && worker->runs.empty() && now > worker->leaseEnds;
+}
+
+void Dispatcher::forgetWorker(const WorkerId &id)
+{
+    m_workers.erase(id.value());
+}
+
+// Section: jobs
+
+Job *Dispatcher::findJob(const JobId &id)
+{
+    const auto job = m_jobs.find(id.value());
+    return job == m_jobs.end() ? nullptr : job->second.get();
+}
+
+void Dispatcher::addOccurrence(Job &job, uint32_t number)
+{
+    Occurrence occurrence;
+    occurrence.number = number;
+    occurrence.steps.resize(job.spec.steps.size());
+    for (size_t step = 0; step < occurrence.steps.size(); ++step) {
+        occurrence.steps[step].tasks.resize(job.spec.steps[step].count);
+        occurrence.steps[step].waiting = job.spec.steps[step].count;
+    }
+    job.occurrences.push_back(std::move(occurrence));
+}
+
+void Dispatcher::addDueOccurrences(Job &job, UnixMilliseconds wallNow)
+{
+    if (job.spec.times == 0) {
+        if (job.occurrences.empty())
+            addOccurrence(job, 0);
+        return;
+    }
+    const int64_t interval = std::max<int64_t>(
+            1, std::chrono::duration_cast<milliseconds>(job.spec.interval).count());
+    while (job.occurrences.size() < job.spec.times) {
+        const auto number = uint32_t(job.occurrences.size());
+        if (wallNow.value() < job.spec.firstAt.value() + int64_t(number) * interval)
+            return;
+        addOccurrence(job, number);
+    }
+}
+
+void Dispatcher::addJob(JobSpec spec, TimePoint now)
+{
+    if (m_jobs.contains(spec.id.value()))
+        return;
+    auto job = std::make_unique<Job>();
+    const auto queue = m_queues.find(spec.queue.name);
+    if (queue != m_queues.end())
+        spec.queue = queue->second;
+    job->spec = std::move(spec);
+    job->arrived = now;
+    const Duration objective = objectiveOf(job->spec);
+    job->objective = now + objective;
+    job->hopeless = now + lateFactor * objective;
+    log::info("job_known", {{"job", job->spec.id.value()},
+                            {"queue", job->spec.queue.name},
+                            {"steps", job->spec.steps.size()},
+                            {"objective", objective}});
+    m_open.push_back(job.get());
+    m_jobs.emplace(job->spec.id.value(), std::move(job));
+}
+
+void Dispatcher::restoreJob(JobSpec spec, const std::optional<Progress> &progress,
+                            bool isCancelled, TimePoint now, UnixMilliseconds wallNow)
+{
+    const JobId id = spec.id;
+    const int64_t age =
+            std::clamp<int64_t>(wallNow.value() - spec.acceptedAt.value(), 0, 60000); // clocks step
+    addJob(std::move(spec), now - milliseconds(age));
+    Job &job = *findJob(id);
+    job.isRestored = true;
+    if (progress && isFinal(progress->state)) {
+        job.state = progress->state;
+        job.shown = progress->state;
+        job.finishedAt = now;
+        std::erase(m_open, &job);
+        return;
+    }
+    addDueOccurrences(job, wallNow);
+    if (progress) {
+        for (const auto &[key, tasks] : progress->steps) {
+            while (job.occurrences.size() <= key.first && key.first < std::max(1U, job.spec.times))
+                addOccurrence(job, uint32_t(job.occurrences.size()));
+            if (key.first >= job.occurrences.size()
+                || key.second >= job.occurrences[key.first].steps.size())
+                continue;
+            StepState &step = job.occurrences[key.first].steps[key.second];
+            for (size_t index = 0; index < step.tasks.size() && index < tasks.size(); ++index) {
+                Task &task = step.tasks[index];
+                task.progress = tasks[index];
+                task.attempt = task.progress.lastFailedAttempt;
+                if (!task.progress.isDone)
+                    continue;
+                task.phase = Task::Phase::Done;
+                --step.waiting;
+                ++step.done;
+            }
+            job.state = JobState::Running;
+            job.shown = JobState::Running;
+        }
+    }
+    if (isCancelled)
+        cancelJob(id, now);
+    else
+        for (Occurrence &occurrence : job.occurrences)
+            checkDone(job, occurrence, now);
+}
+
+void Dispatcher::cancelJob(const JobId &id, TimePoint now)
+{
+    Job *const job = findJob(id);
+    if (!job || job->isCancelled || isFinal(job->state))
+        return;
+    job->isCancelled = true;
+    log::info("job_cancelled", {{"job", id.value()}, {"runs", job->activeRuns}});
+    finishJob(*job, JobState::Cancelled, now);
+}
+
+std::optional<JobState> Dispatcher::jobState(const JobId &id) const
+{
+    const auto job = m_jobs.find(id.value());
+    if (job == m_jobs.end())
+        return std::nullopt;
+    if (isFinal(job->second->shown))
+        return job->second->shown;
+    return isFinal(job->second->state) ? JobState::Running : job->second->state;
+}
+
+std::unordered_map<std::string, int64_t> Dispatcher::waitingByQueue() const
+{
+    std::unordered_map<std::string, int64_t> waiting;
+    for (const Job *job : m_open) {
+        if (job->state == JobState::Queued)
+            ++waiting[job->spec.queue.name];
+    }
+    return waiting;
+}
+
+std::vector<JobId> Dispatcher::takeExpired(TimePoint now)
+{
+    std::vector<JobId> expired;
+    for (auto job = m_jobs.begin(); job != m_jobs.end();) {
+        const Job &candidate = *job->second;
+        const bool isExpired = isFinal(candidate.shown) && candidate.activeRuns == 0
+                && !candidate.isDirty && now - candidate.finishedAt > m_settings.keepFinished;
+        if (!isExpired) {
+            ++job;
+            continue;
+        }
+        expired.push_back(candidate.spec.id);
+        std::erase(m_open, job->second.get());
+        job = m_jobs.erase(job);
+    }
+    return expired;
+}
+
+Progress Dispatcher::progressOf(const Job &job) const
+{
+    Progress progress;
+    progress.state = job.state;
+    if (isFinal(job.state))
+        return progress;
+    for (const Occurrence &occurrence : job.occurrences) {
+        for (size_t step = 0; step < occurrence.steps.size(); ++step) {
+            const std::vector<Task> &tasks = occurrence.steps[step].tasks;
+            const bool hasNews = std::any_of(tasks.begin(), tasks.end(), [](const Task &task) {
+                return !task.progress.isEmpty();
+            });
+            if (!hasNews)
+                continue;
+            std::vector<TaskProgress> &rows =
+                    progress.steps[{occurrence.number, uint32_t(step)}];
+            rows.reserve(tasks.size());
+            for (const Task &task : tasks)
+                rows.push_back(task.progress);
+        }
+    }
+    return progress;
+}
+
+void Dispatcher::markDirty(Job &job)
+{
+    job.isDirty = true;
+    ++job.changes;
+    m_dirty[job.spec.id.value()] = &job;
+}
+
+void Dispatcher::finishJob(Job &job, JobState state, TimePoint now)
+{
+    if (isFinal(job.state))
+        return;
+    job.state = state;
+    job.finishedAt = now;
+    log::info("job_finished", {{"job", job.spec.id.value()},
+                               {"state", jobStateName(state)},
+                               {"queue", job.spec.queue.name},
+                               {"age", now - job.arrived},
+                               {"objective_left", job.objective - now}});
+    markDirty(job);
+    stopRuns(job);
+    if (job.activeRuns == 0)
+        std::erase(m_open, &job);
+}
+
+void Dispatcher::checkDone(Job &job, Occurrence &occurrence, TimePoint now)
+{
+    if (occurrence.isDone
+        || !std::all_of(occurrence.steps.begin(), occurrence.steps.end(),
+                        [](const StepState &step) { return step.isDone(); }))
+        return;
+    occurrence.isDone = true;
+    if (++job.occurrencesDone == std::max(1U, job.spec.times))
+        finishJob(job, JobState::Completed, now);
+}
+
+void Dispatcher::stopRuns(Job &job)
+{
+    if (job.activeRuns == 0)
+        return;
+    for (Occurrence &occurrence : job.occurrences) {
+        for (size_t step = 0; step < occurrence.steps.size(); ++step) {
+            for (size_t index = 0; index < occurrence.steps[step].tasks.size(); ++index) {
+                Task &task = occurrence.steps[step].tasks[index];
+                if (task.phase != Task::Phase::Active)
+                    continue;
+                const TaskAddress address = {job.spec.id, occurrence.number, uint32_t(step),
+                                             uint32_t(index)};
+                const auto run = task.worker->runs.find(address.text());
+                if (run != task.worker->runs.end())
+                    run->second.phase = RunPhase::Stopping;
+            }
+        }
+    }
+}
+
+// Section: what is stored
+
+Batch Dispatcher::collect()
+{
+    Batch batch;
+    size_t bytes = 0;
+    for (const auto &[id, job] : m_dirty) {
+        if (batch.rows.size() == maxRowsPerCommit || bytes > maxBytesPerCommit)
+            return batch; // ends are acknowledged once all of what they changed is stored
+        batch.rows.push_back(
+                {job->spec.id, job->state, job->changes, encodeProgress(progressOf(*job))});
+        bytes += batch.rows.back().progress.size();
+    }
+    for (const auto &[id, worker] : m_workers) {
+        if (worker->endsProcessed > worker->endsAcknowledged)
+            batch.ends.push_back({worker->entry.id, worker->born, worker->endsProcessed});
+    }
+    return batch;
+}
+
+bool Dispatcher::hasUnstored() const
+{
+    return !m_dirty.empty() || m_hasUnstoredEnds;
+}
+
+bool Dispatcher::hasUnstoredFinal() const
+{
+    return std::any_of(m_dirty.begin(), m_dirty.end(),
+                       [](const auto &entry) { return isFinal(entry.second->state); });
+}
+
+void Dispatcher::committed(const Batch &batch)
+{
+    for (const Batch::JobRow &row : batch.rows) {
+        Job *const job = findJob(row.id);
+        if (!job)
+            continue;
+        job->shown = row.state;
+        // A job that changed while the batch was on its way stays to be stored again.
+        if (job->changes != row.changes)
+            continue;
+        job->isDirty = false;
+        m_dirty.erase(row.id.value());
+    }
+    for (const Batch::WorkerEnds &ends : batch.ends) {
+        const auto worker = m_workers.find(ends.worker.value());
+        if (worker != m_workers.end() && worker->second->born == ends.born)
+            worker->second->endsAcknowledged =
+                    std::max(worker->second->endsAcknowledged, ends.processed);
+    }
+    m_hasUnstoredEnds = std::any_of(m_workers.begin(), m_workers.end(), [](const auto &entry) {
+        return entry.second->endsProcessed > entry.second->endsAcknowledged;
+    });
+}
+
+// Section: figures
+
+Json::Value Dispatcher::state(TimePoint now) const
+{
+    Json::Value value;
+    value["epoch"] = Json::Int64(m_epoch.value());
+    value["jobs"] = Json::UInt64(m_jobs.size());
+    value["openJobs"] = Json::UInt64(m_open.size());
+    value["unstoredJobs"] = Json::UInt64(m_dirty.size());
+    for (const auto &[id, worker] : m_workers) {
+        Json::Value &entry = value["workers"][id];
+        entry["service"] = worker->entry.service;
+        entry["read"] = worker->isRead;
+        entry["listed"] = worker->isListed;
+        entry["draining"] = worker->entry.isDraining;
+        entry["runs"] = Json::UInt64(worker->runs.size());
+        entry["freeCores"] = Json::Int64(freeRoom(*worker).cores.value());
+        entry["reportAgeMs"] = Json::Int64(
+                std::chrono::duration_cast<milliseconds>(now - worker->lastReport).count());
+        entry["slowness"] = worker->slowness;
+        entry["shunned"] = now < worker->shunnedUntil;
+    }
+    return value;
+}
+
+Json::Value Dispatcher::explain(const JobId &id, TimePoint now) const
+{
+    Json::Value value;
+    const auto found = m_jobs.find(id.value());
+    if (found == m_jobs.end())
+        return value;
+    const Job &job = *found->second;
+    value["job"] = id.value();
+    value["queue"] = job.spec.queue.name;
+    value["state"] = jobStateName(job.shown);
+    value["ageMs"] =
+            Json::Int64(std::chrono::duration_cast<milliseconds>(now - job.arrived).count());
+    for (const Occurrence &occurrence : job.occurrences) {
+        for (size_t number = 0; number < occurrence.steps.size(); ++number) {
+            const StepState &step = occurrence.steps[number];
+            Json::Value entry;
+            entry["occurrence"] = occurrence.number;
+            entry["step"] = Json::UInt64(number);
+            entry["tasks"] = Json::UInt64(step.tasks.size());
+            entry["done"] = step.done;
+            entry["waiting"] = step.waiting;
+            entry["ready"] = isReady(occurrence, job, uint32_t(number));
+            entry["allowedWorkers"] = Json::UInt64(step.advice.allowed.size());
+            entry["askedWorkers"] = Json::UInt64(step.advice.asked.size());
+            for (const auto &[worker, count] : step.perWorker)
+                entry["on"][worker->entry.id.value()] = count;
+            value["steps"].append(std::move(entry));
+        }
+    }
+    return value;
+}
+
+} // namespace cwl::jobs
--- /dev/null
+++ b/src/jobs/dispatcher.h
@@ -0,0 +1,282 @@
+// Decides which task runs on which worker, and what is known of each job.
+//
+// The dispatcher belongs to the one owner of the cell. It is pure: it does no I/O and reads no
+// clock; the time is an argument. The owner tells it of jobs, workers, answers and reports, calls
+// decide() and carries out the orders. What is known for good of a job is collected with collect();
+// once that is stored, committed() lets workers forget the ends and callers see final states.
+//
+// Rules that it keeps:
+//  - a task has one run at a time: a new one starts once the end of the last one is certain;
+//  - room counts from the order until the end is listed, the order is refused or the lease ended;
+//  - an order without an answer is stopped, because it may be carried out later;
+//  - a job taken over from an earlier owner starts nothing until every worker has reported or its
+//    lease has ended.
+
+#pragma once
+
+#include "jobs/progress.h"
+#include "jobs/state.h"
+#include "jobs/types.h"
+
+#include <json/value.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cwl::jobs {
+
+// Section: limits
+
+constexpr Duration orderTimeout = milliseconds(700);    // an answer normally takes a few ms
+constexpr Duration stopRepeat = milliseconds(500);      // until a stop is answered
+constexpr double workerClockError = 0.02;               // a worker's clock may be this much slow
+constexpr Duration stallLimit = milliseconds(1600);     // progress is shown in hundredths
+constexpr Duration shunTime = seconds(4);               // after failures in a row
+constexpr uint32_t shunFailures = 2;
+constexpr Duration ticketMargin = milliseconds(150);    // transit of a start, and clock error
+constexpr Duration reportFreshness = milliseconds(2600); // an older report: the worker may be cut
+constexpr size_t maxRowsPerCommit = 80;                 // the store takes 100 entries a call
+constexpr size_t maxBytesPerCommit = 600000;            // and 1 MB, encoded
+constexpr size_t maxAdviceWorkers = 100;                // in one call
+constexpr size_t maxUnplacedSteps = 60;                 // looked at in one pass for each service
+
+struct DispatcherSettings
+{
+    Duration lease = milliseconds(4500);      // of everything on a worker, renewed with each look
+    Duration keepFinished = seconds(150);     // final states can be asked for
+    double reserveForUrgent = 0.08;           // share of cores that urgent queues alone may use
+};
+
+// Section: orders
+
+struct StartOrder
+{
+    WorkerId worker;
+    std::string address;
+    std::string task;
+    int64_t attempt = 0;
+    std::string payload = {};
+    std::string checkpoint = {};
+    std::string ticket = {};
+    int64_t leaseUntilMs = 0; // on the worker's clock
+};
+
+struct StopOrder
+{
+    WorkerId worker;
+    std::string address;
+    std::string task;
+    int64_t attempt = 0;
+};
+
+struct PaceOrder
+{
+    WorkerId worker;
+    std::string address;
+    std::string task;
+    int64_t attempt = 0;
+    int64_t percent = 100;
+};
+
+struct AdviceQuery
+{
+    TaskAddress step; // its index means nothing
+    std::vector<WorkerId> workers;
+    Duration expected = {}; // time that the service takes
+};
+
+struct Orders
+{
+    std::vector<StartOrder> starts = {};
+    std::vector<StopOrder> stops = {};
+    std::vector<PaceOrder> paces = {};
+    std::vector<AdviceQuery> queries = {};
+};
+
+// A look at a worker that renews its lease.
+struct WatchOrder
+{
+    int64_t acknowledged = 0;                // ends up to it may be forgotten
+    std::optional<int64_t> leaseUntilMs = {}; // on the worker's clock; none before its first report
+};
+
+struct AllowedWorker
+{
+    WorkerId worker;
+    std::string ticket;
+};
+
+// What is to be stored, and what follows once it is.
+struct Batch
+{
+    struct JobRow
+    {
+        JobId id;
+        JobState state;
+        uint64_t changes = 0; // of the job, as collected
+        std::string progress; // JSON
+    };
+    struct WorkerEnds
+    {
+        WorkerId worker;
+        int64_t born = 0;
+        int64_t processed = 0;
+    };
+    std::vector<JobRow> rows = {};
+    std::vector<WorkerEnds> ends = {};
+};
+
+class Dispatcher
+{
+public:
+    explicit Dispatcher(const DispatcherSettings &settings);
+    ~Dispatcher();
+
+    // Section: ownership
+
+    // Forgets everything and begins as the owner with this epoch. Workers that have not reported
+    // may run what the last owner started until `predecessorEnds`.
+    void begin(Epoch epoch, TimePoint predecessorEnds);
+    void setPredecessorEnds(TimePoint latest);
+
+    // Section: configuration and workers
+
+    void setConfig(const CellConfig &config);
+    void putWorker(const WorkerEntry &entry, TimePoint now);
+    void unlistWorker(const WorkerId &id, TimePoint now);
+    std::vector<WorkerId> knownWorkers() const;
+    const Worker *findWorker(const WorkerId &id) const;
+    WatchOrder watchOrder(const WorkerId &id, TimePoint now);
+    bool isForgettable(const WorkerId &id, TimePoint now) const; // gone, and nothing can run there
+    void forgetWorker(const WorkerId &id);
+
+    // Section: jobs
+
+    void addJob(JobSpec spec, TimePoint now);
+    void restoreJob(JobSpec spec, const std::optional<Progress> &progress, bool isCancelled,
+                    TimePoint now, UnixMilliseconds wallNow);
+    void cancelJob(const JobId &id, TimePoint now);
+    std::optional<JobState> jobState(const JobId &id) const; // as callers are told
+    std::unordered_map<std::string, int64_t> waitingByQueue() const; // jobs that have not begun
+    std::vector<JobId> takeExpired(TimePoint now); // finished long ago, forgotten now
+
+    // Section: news. Reports of one worker come in the order in which they were asked for.
+
+    // Returns false if a newer owner has fenced the worker.
+    void onReport(const WorkerId &id, const WorkerReport &report, TimePoint sentAt, TimePoint now);
+    void onStartAnswered(const StartOrder &order, OrderAnswer answer, TimePoint now);
+    void onStopAnswered(const StopOrder &order, OrderAnswer answer, TimePoint now);
+    void onAdvice(const AdviceQuery &query, const std::vector<AllowedWorker> &allowed,
+                  TimePoint now);
+    void onAdviceFailed(const AdviceQuery &query, TimePoint now);
+
+    // Section: decisions
+
+    Orders decide(TimePoint now, UnixMilliseconds wallNow);
+    Batch collect();
+    bool hasUnstored() const;
+    bool hasUnstoredFinal() const; // callers wait for it
+    void committed(const Batch &batch);
+
+    // Section: figures
+
+    Json::Value state(TimePoint now) const;
+    Json::Value explain(const JobId &id, TimePoint now) const;
+    struct Figures
+    {
+        uint64_t started = 0;
+        uint64_t ended = 0;
+        uint64_t lost = 0;      // runs whose worker fell silent
+        uint64_t stalled = 0;
+        uint64_t refused = 0;   // starts
+        uint64_t unanswered = 0;
+    };
+    const Figures &figures() const { return m_figures; }
+
+private:
+    struct Candidate
+    {
+        int64_t rank = 0;
+        Job *job = nullptr;
+        Occurrence *occurrence = nullptr;
+        uint32_t step = 0;
+    };
+    struct ServiceRoom
+    {
+        Resources capacity = {};
+        Resources free = {};
+        int64_t topPriority = 0; // of the queues that use it
+        size_t unplaced = 0;
+    };
+
+    // Section: jobs (dispatcher.cpp)
+    Job *findJob(const JobId &id);
+    void addOccurrence(Job &job, uint32_t number);
+    void addDueOccurrences(Job &job, UnixMilliseconds wallNow);
+    Progress progressOf(const Job &job) const;
+    void markDirty(Job &job);
+    void finishJob(Job &job, JobState state, TimePoint now);
+    void checkDone(Job &job, Occurrence &occurrence, TimePoint now);
+    void stopRuns(Job &job);
+
+    // Section: runs (runs.cpp)
+    Run &addRun(Worker &worker, Run run);
+    void removeRun(Worker &worker, const std::string &task);
+    void wait(Job &job, const TaskAddress &address);
+    void endRun(Worker &worker, const EndedTask &end, TimePoint now);
+    void loseRuns(Worker &worker, const char *reason, TimePoint now);
+    void noteDone(Job &job, const TaskAddress &address, TimePoint now);
+    void noteFailed(Job &job, const TaskAddress &address, int64_t attempt, Worker &worker,
+                    TimePoint now);
+    void noteRunning(Worker &worker, const RunningTask &running, TimePoint now);
+    void checkUnlisted(Worker &worker, const WorkerReport &report, TimePoint sentAt,
+                       TimePoint now);
+    void stopGang(Job &job, const TaskAddress &member);
+    void checkStall(Worker &worker, Run &run, TimePoint now);
+    StepState *findStep(Job &job, const TaskAddress &address);
+    Task *findTask(Job &job, const TaskAddress &address);
+    const Step &stepSpec(const Job &job, const TaskAddress &address) const;
+
+    // Section: placement (placement.cpp)
+    std::vector<Candidate> candidates(TimePoint now);
+    void place(const Candidate &candidate, Orders &orders, TimePoint now);
+    bool placeTasks(const Candidate &candidate, Orders &orders, TimePoint now);
+    bool placeGang(const Candidate &candidate, Orders &orders, TimePoint now);
+    Worker *chooseWorker(const Candidate &candidate, const Task &task, TimePoint now);
+    bool isUsable(const Worker &worker, const Candidate &candidate, TimePoint now) const;
+    bool hasRoom(const Worker &worker, const Step &step) const;
+    double score(const Worker &worker, const Candidate &candidate, const Task &task) const;
+    const Ticket *findTicket(const StepState &step, const Worker &worker, TimePoint now) const;
+    void reserve(const Candidate &candidate, TimePoint now);
+    void start(const Candidate &candidate, uint32_t index, Worker &worker, int64_t attempt,
+               Orders &orders, TimePoint now);
+    void askAdvice(const Candidate &candidate, Orders &orders, TimePoint now);
+    void askEarly(Job &job, Orders &orders, TimePoint now);
+    int64_t leaseDeadline(Worker &worker, TimePoint now);
+    bool isReady(const Occurrence &occurrence, const Job &job, uint32_t step) const;
+    bool isSettled(TimePoint now);
+    void repeatStops(Orders &orders, TimePoint now);
+    void evacuate(Worker &worker, TimePoint now);
+    void controlPace(Worker &worker, Orders &orders, TimePoint now);
+    void countRooms();
+
+    const DispatcherSettings m_settings;
+    Epoch m_epoch;
+    TimePoint m_predecessorEnds = {};
+    bool m_isSettledForGood = false;
+    std::unordered_map<std::string, Queue> m_queues;
+    std::unordered_map<std::string, std::unique_ptr<Worker>> m_workers;
+    std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
+    std::vector<Job *> m_open; // not final, or with runs that have not ended
+    std::unordered_map<std::string, Job *> m_dirty;
+    bool m_hasUnstoredEnds = false;
+    std::unordered_map<std::string, ServiceRoom> m_rooms;
+    std::unordered_map<const Worker *, const Job *> m_reserved; // for gangs, during one pass
+    std::unordered_map<std::string, double> m_allowedShare;     // by queue, smoothed
+    Figures m_figures;
+};
+
+} // namespace cwl::jobs
--- /dev/null
+++ b/src/jobs/placement.cpp
@@ -0,0 +1,647 @@
+// Decisions: which task starts where, whom to ask for advice, what to stop.
+
+#include "jobs/dispatcher.h"
+
+#include "node/log.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cwl::jobs {
+
+namespace {
+
+// Score of a worker for a task; the highest is chosen. The weights order the criteria: data in the
+// right rack, a worker that has not failed this task, speed, then the tightest fit.
+constexpr double rackWeight = 1.0;
+constexpr double failedWeight = 3.0;
+constexpr double slownessScore = 0.5;
+constexpr double fitWeight = 0.4;
+constexpr double disturbWeight = 1.5;  // tasks that fill beside tasks that serve
+
+constexpr double firstAllowedShare = 0.5;  // of the workers asked about, before any answer
+constexpr double allowedShareWeight = 0.1; // of the newest answer
+constexpr double adviceSurplus = 1.4;      // places asked for, against places needed
+constexpr Duration adviceRetryPause = milliseconds(300);
+constexpr Duration adviceEarly = milliseconds(60); // before the step is expected to be ready
+constexpr Duration drainMargin = milliseconds(1300); // a stop takes up to 0.9 s
+
+// A tail above `paceDownAt` of its target slows what fills beside it; below `paceUpAt` it speeds
+// up again.
+constexpr double paceDownAt = 0.75;
+constexpr double paceUpAt = 0.45;
+constexpr int64_t paceStep = 50;
+
+Duration remainingOf(const Run &run, const Step &spec, TimePoint now)
+{
+    if (run.confirmedAt == TimePoint())
+        return spec.estimate;
+    const Duration elapsed = now - run.confirmedAt;
+    if (run.percent > 5 && run.percent < 100)
+        return elapsed * (100 - run.percent) / run.percent;
+    return std::max(Duration::zero(), spec.estimate - elapsed);
+}
+
+bool hasLabel(const Worker &worker, const std::string &label)
+{
+    return label.empty()
+            || std::find(worker.entry.labels.begin(), worker.entry.labels.end(), label)
+            != worker.entry.labels.end();
+}
+
+} // namespace
+
+// Section: the pass
+
+void Dispatcher::countRooms()
+{
+    m_rooms.clear();
+    for (const auto &[id, worker] : m_workers) {
+        if (!worker->isRead || !worker->isListed)
+            continue;
+        ServiceRoom &room = m_rooms[worker->entry.service];
+        room.capacity = room.capacity + worker->entry.capacity;
+        room.free = room.free + freeRoom(*worker);
+        room.topPriority = INT64_MAX;
+    }
+    for (const auto &[name, queue] : m_queues) {
+        const auto room = m_rooms.find(queue.service);
+        if (room != m_rooms.end())
+            room->second.topPriority = std::min(room->second.topPriority, queue.priority);
+    }
+}
+
+bool Dispatcher::isReady(const Occurrence &occurrence, const Job &job, uint32_t step) const
+{
+    const std::vector<uint32_t> &after = job.spec.steps[step].after;
+    return std::all_of(after.begin(), after.end(), [&](uint32_t before) {
+        return before < occurrence.steps.size() && occurrence.steps[before].isDone();
+    });
+}
+
+bool Dispatcher::isSettled(TimePoint now)
+{
+    if (m_isSettledForGood)
+        return true;
+    m_isSettledForGood = std::all_of(m_workers.begin(), m_workers.end(), [&](const auto &entry) {
+        return entry.second->isRead || now > entry.second->leaseEnds;
+    });
+    return m_isSettledForGood;
+}
+
+std::vector<Dispatcher::Candidate> Dispatcher::candidates(TimePoint now)
+{
+    std::vector<Candidate> found;
+    const bool settled = isSettled(now);
+    for (Job *job : m_open) {
+        if (isFinal(job->state) || (job->isRestored && !settled))
+            continue;
+        // Urgent queues first; then the nearest objective; jobs beyond hope last in their queue.
+        const int64_t nearness =
+                std::chrono::duration_cast<milliseconds>(job->objective.time_since_epoch()).count();
+        constexpr int64_t priorityUnit = int64_t(1) << 44;
+        constexpr int64_t hopelessUnit = int64_t(1) << 42;
+        const int64_t rank = job->spec.queue.priority * priorityUnit
+                + (now > job->hopeless ? hopelessUnit : 0) + nearness;
+        for (Occurrence &occurrence : job->occurrences) {
+            if (occurrence.isDone)
+                continue;
+            for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                const StepState &state = occurrence.steps[step];
+                if (state.waiting > 0 && now >= state.retryAt && isReady(occurrence, *job, step))
+                    found.push_back({rank, job, &occurrence, step});
+            }
+        }
+    }
+    std::sort(found.begin(), found.end(),
+              [](const Candidate &a, const Candidate &b) { return a.rank < b.rank; });
+    return found;
+}
+
+Orders Dispatcher::decide(TimePoint now, UnixMilliseconds wallNow)
+{
+    Orders orders;
+    for (auto &[id, worker] : m_workers) {
+        if (!worker->runs.empty() && now > worker->leaseEnds)
+            loseRuns(*worker, "lease ended", now);
+        if (worker->entry.isDraining)
+            evacuate(*worker, now);
+        if (worker->servingTargets > 0)
+            controlPace(*worker, orders, now);
+    }
+    for (Job *job : m_open) {
+        if (!isFinal(job->state))
+            addDueOccurrences(*job, wallNow);
+    }
+    countRooms();
+    m_reserved.clear();
+    for (const Candidate &candidate : candidates(now))
+        place(candidate, orders, now);
+    for (Job *job : m_open)
+        askEarly(*job, orders, now);
+    repeatStops(orders, now);
+    return orders;
+}
+
+void Dispatcher::place(const Candidate &candidate, Orders &orders, TimePoint now)
+{
+    const auto room = m_rooms.find(candidate.job->spec.queue.service);
+    if (room == m_rooms.end() || room->second.unplaced > maxUnplacedSteps)
+        return;
+    const bool isPlaced = candidate.job->spec.steps[candidate.step].gang
+            ? placeGang(candidate, orders, now)
+            : placeTasks(candidate, orders, now);
+    if (isPlaced)
+        return;
+    ++room->second.unplaced;
+    if (candidate.job->spec.queue.advice)
+        askAdvice(candidate, orders, now);
+}
+
+// Section: workers for a task
+
+bool Dispatcher::hasRoom(const Worker &worker, const Step &step) const
+{
+    Resources need = step.each;
+    if (step.fill) {
+        need.cores = Millicores(0);
+        if (worker.used.cores + worker.fillUsed + step.each.cores > worker.entry.capacity.cores)
+            return false;
+    }
+    return need.fitsIn(freeRoom(worker));
+}
+
+bool Dispatcher::isUsable(const Worker &worker, const Candidate &candidate, TimePoint now) const
+{
+    const Step &step = candidate.job->spec.steps[candidate.step];
+    if (worker.entry.service != candidate.job->spec.queue.service || !worker.isRead
+        || !worker.isListed || worker.entry.isDraining || worker.unknownRuns > 0
+        || now < worker.shunnedUntil || now - worker.lastReport > reportFreshness)
+        return false;
+    if (!hasLabel(worker, step.label))
+        return false;
+    const auto reserved = m_reserved.find(&worker);
+    if (reserved != m_reserved.end() && reserved->second != candidate.job)
+        return false;
+    if (step.maxPerWorker == 0)
+        return true;
+    const StepState &state = candidate.occurrence->steps[candidate.step];
+    const auto count = state.perWorker.find(&worker);
+    return count == state.perWorker.end() || count->second < step.maxPerWorker;
+}
+
+const Ticket *Dispatcher::findTicket(const StepState &step, const Worker &worker,
+                                     TimePoint now) const
+{
+    const auto ticket = step.advice.allowed.find(worker.entry.id.value());
+    if (ticket == step.advice.allowed.end() || now >= ticket->second.expires
+        || ticket->second.born != worker.born)
+        return nullptr;
+    return &ticket->second;
+}
+
+double Dispatcher::score(const Worker &worker, const Candidate &candidate, const Task &task) const
+{
+    const Step &step = candidate.job->spec.steps[candidate.step];
+    double score = 0;
+    if (!step.rack.empty() && hasLabel(worker, step.rack))
+        score += rackWeight;
+    if (task.lastFailedOn == worker.entry.id)
+        score -= failedWeight;
+    score -= slownessScore * worker.slowness;
+    const Resources free = freeRoom(worker);
+    const auto capacity = double(std::max<int64_t>(1, worker.entry.capacity.cores.value()));
+    const int64_t leftCores = free.cores.value() - worker.fillUsed.value() - step.each.cores.value();
+    double left = double(leftCores) / capacity;
+    if (worker.entry.capacity.accelerators.value() > 0) {
+        const int64_t leftGpus =
+                free.accelerators.value() - step.each.accelerators.value();
+        left = 2.0 * double(leftGpus) / double(worker.entry.capacity.accelerators.value());
+    }
+    // What fills wants room to itself; the rest keeps large gaps open.
+    score += step.fill ? fitWeight * left : -fitWeight * left;
+    if ((step.fill && worker.servingTargets > 0)
+        || (step.tailTargetMs > 0 && worker.fillUsed.value() > 0))
+        score -= disturbWeight;
+    return score;
+}
+
+Worker *Dispatcher::chooseWorker(const Candidate &candidate, const Task &task, TimePoint now)
+{
+    const StepState &state = candidate.occurrence->steps[candidate.step];
+    const Step &step = candidate.job->spec.steps[candidate.step];
+    const bool needsTicket = candidate.job->spec.queue.advice.has_value();
+    Worker *best = nullptr;
+    double bestScore = 0;
+    for (auto &[id, worker] : m_workers) {
+        if (!isUsable(*worker, candidate, now) || !hasRoom(*worker, step))
+            continue;
+        if (needsTicket && !findTicket(state, *worker, now))
+            continue;
+        const double value = score(*worker, candidate, task);
+        if (!best || value > bestScore) {
+            best = worker.get();
+            bestScore = value;
+        }
+    }
+    return best;
+}
+
+// Section: starts
+
+int64_t Dispatcher::leaseDeadline(Worker &worker, TimePoint now)
+{
+    const Duration untilEnd = now - worker.clockAt + m_settings.lease;
+    const int64_t deadline =
+            worker.clockMs + std::chrono::duration_cast<milliseconds>(untilEnd).count();
+    const auto slowest = Duration(int64_t(double(untilEnd.count()) / (1 - workerClockError)));
+    worker.leaseEnds = std::max(worker.leaseEnds, worker.clockAt + slowest);
+    return deadline;
+}
+
+void Dispatcher::start(const Candidate &candidate, uint32_t index, Worker &worker, int64_t attempt,
+                       Orders &orders, TimePoint now)
+{
+    StepState &state = candidate.occurrence->steps[candidate.step];
+    Run run;
+    run.job = candidate.job;
+    run.address = {candidate.job->spec.id, candidate.occurrence->number, candidate.step, index};
+    run.attempt = attempt;
+    run.orderedAt = now;
+    const Ticket *const ticket =
+            candidate.job->spec.queue.advice ? findTicket(state, worker, now) : nullptr;
+    StartOrder order;
+    order.worker = worker.entry.id;
+    order.address = worker.entry.address;
+    order.task = run.address.text();
+    order.attempt = attempt;
+    order.payload = candidate.job->spec.payload;
+    order.checkpoint = state.tasks[index].progress.checkpoint;
+    order.ticket = ticket ? ticket->text : std::string();
+    order.leaseUntilMs = leaseDeadline(worker, now);
+    log::info("run_ordered", {{"task", order.task},
+                              {"attempt", attempt},
+                              {"worker", order.worker.value()},
+                              {"checkpoint", !order.checkpoint.empty()},
+                              {"report_age", now - worker.lastReport},
+                              {"epoch", m_epoch.value()}});
+    ++m_figures.started;
+    m_rooms[worker.entry.service].free =
+            m_rooms[worker.entry.service].free - candidate.job->spec.steps[candidate.step].each;
+    addRun(worker, std::move(run));
+    orders.starts.push_back(std::move(order));
+}
+
+namespace {
+
+// Attempts of one owner lie above those of all earlier owners.
+constexpr int64_t attemptsPerEpoch = 1000;
+
+int64_t nextAttempt(int64_t last, Epoch epoch)
+{
+    return std::max(last, (epoch.value() - 1) * attemptsPerEpoch) + 1;
+}
+
+} // namespace
+
+bool Dispatcher::placeTasks(const Candidate &candidate, Orders &orders, TimePoint now)
+{
+    StepState &state = candidate.occurrence->steps[candidate.step];
+    const Step &step = candidate.job->spec.steps[candidate.step];
+    const ServiceRoom &room = m_rooms[candidate.job->spec.queue.service];
+    for (uint32_t index = 0; index < state.tasks.size(); ++index) {
+        Task &task = state.tasks[index];
+        if (task.phase != Task::Phase::Waiting)
+            continue;
+        if (!step.fill && candidate.job->spec.queue.priority > room.topPriority
+            && double(room.free.cores.value() - step.each.cores.value())
+                    < m_settings.reserveForUrgent * double(room.capacity.cores.value()))
+            return false;
+        Worker *const worker = chooseWorker(candidate, task, now);
+        if (!worker)
+            return false;
+        start(candidate, index, *worker, nextAttempt(task.attempt, m_epoch), orders, now);
+    }
+    return true;
+}
+
+bool Dispatcher::placeGang(const Candidate &candidate, Orders &orders, TimePoint now)
+{
+    StepState &state = candidate.occurrence->steps[candidate.step];
+    const Step &step = candidate.job->spec.steps[candidate.step];
+    if (state.waiting < state.tasks.size())
+        return true; // members of the last run have not ended
+    const bool needsTicket = candidate.job->spec.queue.advice.has_value();
+    struct Place
+    {
+        Worker *worker;
+        int64_t fits;
+        double score;
+    };
+    std::vector<Place> places;
+    for (auto &[id, worker] : m_workers) {
+        if (!isUsable(*worker, candidate, now) || !hasRoom(*worker, step))
+            continue;
+        if (needsTicket && !findTicket(state, *worker, now))
+            continue;
+        const Resources free = freeRoom(*worker);
+        int64_t fits = INT64_MAX;
+        if (step.each.cores.value() > 0)
+            fits = std::min(fits, free.cores.value() / step.each.cores.value());
+        if (step.each.memory.value() > 0)
+            fits = std::min(fits, free.memory.value() / step.each.memory.value());
+        if (step.each.accelerators.value() > 0)
+            fits = std::min(fits, free.accelerators.value() / step.each.accelerators.value());
+        if (step.maxPerWorker > 0)
+            fits = std::min<int64_t>(fits, step.maxPerWorker);
+        places.push_back({worker.get(), fits, score(*worker, candidate, state.tasks[0])});
+    }
+    std::sort(places.begin(), places.end(),
+              [](const Place &a, const Place &b) { return a.score > b.score; });
+    int64_t room = 0;
+    for (const Place &place : places)
+        room += std::min<int64_t>(place.fits, step.count);
+    if (room < step.count) {
+        reserve(candidate, now);
+        return false;
+    }
+    int64_t last = 0;
+    std::string checkpoint;
+    for (const Task &task : state.tasks) {
+        last = std::max(last, task.attempt);
+        if (checkpoint.empty())
+            checkpoint = task.progress.checkpoint;
+    }
+    for (Task &task : state.tasks)
+        task.progress.checkpoint = checkpoint; // valid for all, and all carry the same one
+    const int64_t attempt = nextAttempt(last, m_epoch);
+    uint32_t index = 0;
+    for (const Place &place : places) {
+        for (int64_t n = 0; n < place.fits && index < step.count; ++n)
+            start(candidate, index++, *place.worker, attempt, orders, now);
+    }
+    return true;
+}
+
+// Keeps workers that will have room for the gang first free of less urgent work, for this pass.
+void Dispatcher::reserve(const Candidate &candidate, TimePoint now)
+{
+    const StepState &state = candidate.occurrence->steps[candidate.step];
+    const Step &step = candidate.job->spec.steps[candidate.step];
+    const bool needsAdvice = candidate.job->spec.queue.advice.has_value();
+    std::vector<Worker *> places;
+    size_t pool = 0;
+    for (auto &[id, worker] : m_workers) {
+        if (worker->entry.service != candidate.job->spec.queue.service)
+            continue;
+        ++pool;
+        if (!isUsable(*worker, candidate, now) || !step.each.fitsIn(worker->entry.capacity))
+            continue;
+        if (needsAdvice && !state.advice.allowed.contains(id))
+            continue;
+        places.push_back(worker.get());
+    }
+    std::sort(places.begin(), places.end(), [](const Worker *a, const Worker *b) {
+        const Resources freeA = freeRoom(*a);
+        const Resources freeB = freeRoom(*b);
+        return std::pair(freeA.accelerators, freeA.cores)
+                > std::pair(freeB.accelerators, freeB.cores);
+    });
+    const size_t most = std::max<size_t>(1, pool / 2);
+    uint32_t found = 0;
+    for (Worker *worker : places) {
+        if (found >= step.count || m_reserved.size() >= most)
+            return;
+        m_reserved[worker] = candidate.job;
+        const Resources &capacity = worker->entry.capacity;
+        int64_t fits = INT64_MAX;
+        if (step.each.cores.value() > 0)
+            fits = std::min(fits, capacity.cores.value() / step.each.cores.value());
+        if (step.each.accelerators.value() > 0)
+            fits = std::min(fits, capacity.accelerators.value() / step.each.accelerators.value());
+        found += uint32_t(std::clamp<int64_t>(fits, 1, step.count));
+    }
+}
+
+// Section: advice
+
+void Dispatcher::askAdvice(const Candidate &candidate, Orders &orders, TimePoint now)
+{
+    StepState &state = candidate.occurrence->steps[candidate.step];
+    if (state.advice.isAsking || now < state.advice.retryAt)
+        return;
+    const Step &step = candidate.job->spec.steps[candidate.step];
+    const AdvicePolicy &policy = *candidate.job->spec.queue.advice;
+    struct Choice
+    {
+        Worker *worker;
+        double score;
+        bool isAllowed;
+        int64_t fits;
+    };
+    std::vector<Choice> choices;
+    for (auto &[id, worker] : m_workers) {
+        if (!isUsable(*worker, candidate, now) || findTicket(state, *worker, now))
+            continue;
+        const auto asked = state.advice.asked.find(id);
+        if (asked != state.advice.asked.end() && !asked->second)
+            continue;
+        if (!step.each.fitsIn(worker->entry.capacity))
+            continue;
+        const bool fitsNow = hasRoom(*worker, step);
+        double value = score(*worker, candidate, state.tasks[0]) - (fitsNow ? 0 : 10);
+        const bool isAllowed = asked != state.advice.asked.end();
+        value += isAllowed ? 5 : 0;
+        const int64_t each = std::max<int64_t>(1, step.each.cores.value());
+        int64_t fits = std::max<int64_t>(1, freeRoom(*worker).cores.value() / each);
+        if (step.maxPerWorker > 0)
+            fits = std::min<int64_t>(fits, step.maxPerWorker);
+        // A refreshed ticket for a worker without room would expire unused.
+        if (isAllowed && !fitsNow)
+            continue;
+        choices.push_back({worker.get(), value, isAllowed, fits});
+    }
+    if (choices.empty())
+        return;
+    std::sort(choices.begin(), choices.end(),
+              [](const Choice &a, const Choice &b) { return a.score > b.score; });
+    const auto share = m_allowedShare.emplace(candidate.job->spec.queue.name, firstAllowedShare);
+    const double needed = state.waiting * adviceSurplus + 1;
+    double expected = 0;
+    AdviceQuery query;
+    query.step = {candidate.job->spec.id, candidate.occurrence->number, candidate.step, 0};
+    for (const Choice &choice : choices) {
+        if (expected >= needed || query.workers.size() == maxAdviceWorkers)
+            break;
+        query.workers.push_back(choice.worker->entry.id);
+        expected += double(choice.fits)
+                * (choice.isAllowed ? 1.0 : std::max(0.1, share.first->second));
+    }
+    query.expected = policy.decision + policy.perWorker * int64_t(query.workers.size());
+    state.advice.isAsking = true;
+    log::info("advice_asked", {{"step", query.step.stepText()},
+                               {"workers", query.workers.size()},
+                               {"waiting", state.waiting},
+                               {"expected", query.expected}});
+    orders.queries.push_back(std::move(query));
+}
+
+// Asks for the steps that are about to become ready, so that the answer is there in time.
+void Dispatcher::askEarly(Job &job, Orders &orders, TimePoint now)
+{
+    if (!job.spec.queue.advice || isFinal(job.state))
+        return;
+    for (Occurrence &occurrence : job.occurrences) {
+        for (uint32_t number = 0; number < occurrence.steps.size() && !occurrence.isDone;
+             ++number) {
+            StepState &state = occurrence.steps[number];
+            const std::vector<uint32_t> &after = job.spec.steps[number].after;
+            if (state.waiting == 0 || state.advice.isAsking || after.empty()
+                || !state.advice.asked.empty() || isReady(occurrence, job, number))
+                continue;
+            Duration remaining = {};
+            bool isNear = true;
+            for (const uint32_t before : after) {
+                if (before >= occurrence.steps.size())
+                    continue;
+                const StepState &earlier = occurrence.steps[before];
+                if (earlier.waiting > 0) {
+                    isNear = false;
+                    break;
+                }
+                for (uint32_t index = 0; index < earlier.tasks.size(); ++index) {
+                    const Task &task = earlier.tasks[index];
+                    if (task.phase != Task::Phase::Active)
+                        continue;
+                    const TaskAddress address = {job.spec.id, occurrence.number, before, index};
+                    const auto run = task.worker->runs.find(address.text());
+                    if (run != task.worker->runs.end())
+                        remaining = std::max(
+                                remaining,
+                                remainingOf(run->second, job.spec.steps[before], now));
+                }
+            }
+            const AdvicePolicy &policy = *job.spec.queue.advice;
+            const Duration lead = policy.decision
+                    + policy.perWorker * int64_t(std::min<size_t>(m_workers.size(), 20))
+                    + adviceEarly;
+            if (isNear && remaining <= std::max(lead, policy.validity / 3))
+                askAdvice({0, &job, &occurrence, number}, orders, now);
+        }
+    }
+}
+
+void Dispatcher::onAdvice(const AdviceQuery &query, const std::vector<AllowedWorker> &allowed,
+                          TimePoint now)
+{
+    Job *const job = findJob(query.step.job);
+    StepState *const step = job ? findStep(*job, query.step) : nullptr;
+    if (!step)
+        return;
+    step->advice.isAsking = false;
+    step->advice.retryAt = {};
+    const Duration validity =
+            job->spec.queue.advice ? job->spec.queue.advice->validity : Duration::zero();
+    size_t news = 0;
+    size_t newsAllowed = 0;
+    for (const WorkerId &id : query.workers) {
+        if (step->advice.asked.emplace(id.value(), false).second)
+            ++news;
+    }
+    for (const AllowedWorker &entry : allowed) {
+        const Worker *const worker = findWorker(entry.worker);
+        if (!worker)
+            continue;
+        newsAllowed += step->advice.asked[entry.worker.value()] ? 0 : 1;
+        step->advice.asked[entry.worker.value()] = true;
+        step->advice.allowed[entry.worker.value()] = {entry.ticket, now + validity - ticketMargin,
+                                                      worker->born};
+    }
+    if (news > 0) {
+        double &share = m_allowedShare.emplace(job->spec.queue.name, firstAllowedShare)
+                                .first->second;
+        share += allowedShareWeight * (double(newsAllowed) / double(news) - share);
+    }
+    log::info("advice_received", {{"step", query.step.stepText()},
+                                  {"asked", query.workers.size()},
+                                  {"allowed", allowed.size()}});
+}
+
+void Dispatcher::onAdviceFailed(const AdviceQuery &query, TimePoint now)
+{
+    Job *const job = findJob(query.step.job);
+    StepState *const step = job ? findStep(*job, query.step) : nullptr;
+    if (!step)
+        return;
+    step->advice.isAsking = false;
+    step->advice.retryAt = now + adviceRetryPause;
+}
+
+// Section: stops
+
+void Dispatcher::repeatStops(Orders &orders, TimePoint now)
+{
+    for (auto &[id, worker] : m_workers) {
+        for (auto &[task, run] : worker->runs) {
+            const bool isDue = run.phase == RunPhase::Stopping && run.stopAckedAt == TimePoint()
+                    && now - run.stopSentAt >= stopRepeat;
+            if (!isDue)
+                continue;
+            run.stopSentAt = now;
+            orders.stops.push_back({worker->entry.id, worker->entry.address, task, run.attempt});
+        }
+    }
+}
+
+void Dispatcher::evacuate(Worker &worker, TimePoint now)
+{
+    const bool isShort = worker.drainDeadline != TimePoint();
+    for (auto &[task, run] : worker.runs) {
+        if (!run.job || run.phase != RunPhase::Running)
+            continue;
+        const Step &spec = stepSpec(*run.job, run.address);
+        const bool endsInTime = !isShort
+                || now + remainingOf(run, spec, now) + milliseconds(100) < worker.drainDeadline;
+        const bool isLastMoment = isShort && now + drainMargin >= worker.drainDeadline;
+        const bool moves = spec.lasting || (!endsInTime && (spec.checkpoints || isLastMoment));
+        if (!moves)
+            continue;
+        log::info("run_moved", {{"task", task},
+                                {"worker", worker.entry.id.value()},
+                                {"reason", "draining"},
+                                {"time_left", isShort ? worker.drainDeadline - now : Duration()}});
+        run.phase = RunPhase::Stopping;
+        stopGang(*run.job, run.address);
+    }
+}
+
+void Dispatcher::controlPace(Worker &worker, Orders &orders, TimePoint now)
+{
+    double worst = 0;
+    for (const auto &[task, run] : worker.runs) {
+        if (run.job && stepSpec(*run.job, run.address).tailTargetMs > 0)
+            worst = std::max(worst, double(run.figure)
+                                     / double(stepSpec(*run.job, run.address).tailTargetMs));
+    }
+    if (worker.fillUsed.value() == 0 || (worst <= paceDownAt && worst >= paceUpAt))
+        return;
+    for (auto &[task, run] : worker.runs) {
+        if (run.fillCores.value() == 0 || run.phase != RunPhase::Running
+            || now - run.overSince < milliseconds(500))
+            continue;
+        const int64_t pace = std::clamp<int64_t>(run.pace + (worst > paceDownAt ? -paceStep : 10),
+                                                 0, 100);
+        if (pace == run.pace)
+            continue;
+        run.pace = pace;
+        run.overSince = now;
+        run.percentAt = now;
+        log::info("run_paced", {{"task", task},
+                                {"worker", worker.entry.id.value()},
+                                {"percent", pace},
+                                {"tail_of_target", worst}});
+        orders.paces.push_back({worker.entry.id, worker.entry.address, task, run.attempt, pace});
+    }
+}
+
+} // namespace cwl::jobs
--- /dev/null
+++ b/src/jobs/progress.cpp
@@ -0,0 +1,288 @@
+#include "jobs/progress.h"
+
+#include "base/error.h"
+
+#include <rapidjson/document.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+namespace cwl::jobs {
+
+namespace {
+
+using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
+using rapidjson::Value;
+
+void put(Writer &writer, const char *key, const std::string &text)
+{
+    if (text.empty())
+        return;
+    writer.Key(key);
+    writer.String(text.data(), rapidjson::SizeType(text.size()));
+}
+
+void put(Writer &writer, const char *key, int64_t number)
+{
+    if (number == 0)
+        return;
+    writer.Key(key);
+    writer.Int64(number);
+}
+
+void putFlag(Writer &writer, const char *key, bool flag)
+{
+    if (!flag)
+        return;
+    writer.Key(key);
+    writer.Bool(true);
+}
+
+std::string text(const Value &object, const char *key)
+{
+    const auto member = object.FindMember(key);
+    if (member == object.MemberEnd() || !member->value.IsString())
+        return {};
+    return {member->value.GetString(), member->value.GetStringLength()};
+}
+
+int64_t number(const Value &object, const char *key)
+{
+    const auto member = object.FindMember(key);
+    return member != object.MemberEnd() && member->value.IsInt64() ? member->value.GetInt64() : 0;
+}
+
+bool flag(const Value &object, const char *key)
+{
+    const auto member = object.FindMember(key);
+    return member != object.MemberEnd() && member->value.IsBool() && member->value.GetBool();
+}
+
+int64_t microseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
+}
+
+Duration duration(const Value &object, const char *key)
+{
+    return std::chrono::microseconds(number(object, key));
+}
+
+void writeQueue(Writer &writer, const Queue &queue)
+{
+    writer.StartObject();
+    put(writer, "name", queue.name);
+    put(writer, "service", queue.service);
+    put(writer, "priority", queue.priority);
+    put(writer, "maxAttempts", queue.maxAttempts);
+    put(writer, "stretchPermille", int64_t(queue.stretch * 1000));
+    put(writer, "allowanceUs", microseconds(queue.allowance));
+    if (queue.advice) {
+        put(writer, "decisionUs", microseconds(queue.advice->decision));
+        put(writer, "perWorkerUs", microseconds(queue.advice->perWorker));
+        put(writer, "validityUs", microseconds(queue.advice->validity));
+    }
+    writer.EndObject();
+}
+
+Queue readQueue(const Value &value)
+{
+    Queue queue;
+    queue.name = text(value, "name");
+    queue.service = text(value, "service");
+    queue.priority = number(value, "priority");
+    queue.maxAttempts = std::max<int64_t>(1, number(value, "maxAttempts"));
+    queue.stretch = double(number(value, "stretchPermille")) / 1000;
+    queue.allowance = duration(value, "allowanceUs");
+    if (number(value, "validityUs") > 0)
+        queue.advice = AdvicePolicy{duration(value, "decisionUs"), duration(value, "perWorkerUs"),
+                                    duration(value, "validityUs")};
+    return queue;
+}
+
+void writeStep(Writer &writer, const Step &step)
+{
+    writer.StartObject();
+    put(writer, "count", int64_t(step.count));
+    put(writer, "cores", step.each.cores.value());
+    put(writer, "memory", step.each.memory.value());
+    put(writer, "accelerators", step.each.accelerators.value());
+    put(writer, "estimateUs", microseconds(step.estimate));
+    if (!step.after.empty()) {
+        writer.Key("after");
+        writer.StartArray();
+        for (const uint32_t before : step.after)
+            writer.Uint(before);
+        writer.EndArray();
+    }
+    put(writer, "label", step.label);
+    put(writer, "rack", step.rack);
+    put(writer, "image", step.image);
+    put(writer, "maxPerWorker", int64_t(step.maxPerWorker));
+    put(writer, "maxUnavailable", int64_t(step.maxUnavailable));
+    put(writer, "tailTargetMs", step.tailTargetMs);
+    putFlag(writer, "checkpoints", step.checkpoints);
+    putFlag(writer, "gang", step.gang);
+    putFlag(writer, "rackLocal", step.rackLocal);
+    putFlag(writer, "speculative", step.speculative);
+    putFlag(writer, "lasting", step.lasting);
+    putFlag(writer, "fill", step.fill);
+    writer.EndObject();
+}
+
+Step readStep(const Value &value)
+{
+    Step step;
+    step.count = uint32_t(number(value, "count"));
+    step.each = {Millicores(number(value, "cores")), Mebibytes(number(value, "memory")),
+                 Accelerators(number(value, "accelerators"))};
+    step.estimate = duration(value, "estimateUs");
+    const auto after = value.FindMember("after");
+    if (after != value.MemberEnd() && after->value.IsArray()) {
+        for (const Value &before : after->value.GetArray()) {
+            if (before.IsUint())
+                step.after.push_back(before.GetUint());
+        }
+    }
+    step.label = text(value, "label");
+    step.rack = text(value, "rack");
+    step.image = text(value, "image");
+    step.maxPerWorker = uint32_t(number(value, "maxPerWorker"));
+    step.maxUnavailable = uint32_t(number(value, "maxUnavailable"));
+    step.tailTargetMs = number(value, "tailTargetMs");
+    step.checkpoints = flag(value, "checkpoints");
+    step.gang = flag(value, "gang");
+    step.rackLocal = flag(value, "rackLocal");
+    step.speculative = flag(value, "speculative");
+    step.lasting = flag(value, "lasting");
+    step.fill = flag(value, "fill");
+    return step;
+}
+
+absl::Status malformed(const char *what)
+{
+    return makeError(Failure::MalformedBody, std::string("a stored ") + what + " cannot be read");
+}
+
+} // namespace
+
+std::string encodeJob(const JobSpec &spec)
+{
+    rapidjson::StringBuffer buffer;
+    Writer writer(buffer);
+    writer.StartObject();
+    put(writer, "id", spec.id.value());
+    writer.Key("queue");
+    writeQueue(writer, spec.queue);
+    put(writer, "payload", spec.payload);
+    writer.Key("steps");
+    writer.StartArray();
+    for (const Step &step : spec.steps)
+        writeStep(writer, step);
+    writer.EndArray();
+    put(writer, "times", int64_t(spec.times));
+    put(writer, "firstAt", spec.firstAt.value());
+    put(writer, "intervalUs", microseconds(spec.interval));
+    put(writer, "acceptedAt", spec.acceptedAt.value());
+    writer.EndObject();
+    return {buffer.GetString(), buffer.GetSize()};
+}
+
+absl::StatusOr<JobSpec> decodeJob(const std::string &content)
+{
+    rapidjson::Document document;
+    document.Parse(content.data(), content.size());
+    if (document.HasParseError() || !document.IsObject() || !document.HasMember("queue")
+        || !document["queue"].IsObject() || !document.HasMember("steps")
+        || !document["steps"].IsArray())
+        return malformed("job");
+    JobSpec spec;
+    spec.id = JobId(text(document, "id"));
+    spec.queue = readQueue(document["queue"]);
+    spec.payload = text(document, "payload");
+    for (const Value &step : document["steps"].GetArray()) {
+        if (!step.IsObject())
+            return malformed("job");
+        spec.steps.push_back(readStep(step));
+    }
+    spec.times = uint32_t(number(document, "times"));
+    spec.firstAt = UnixMilliseconds(number(document, "firstAt"));
+    spec.interval = duration(document, "intervalUs");
+    spec.acceptedAt = UnixMilliseconds(number(document, "acceptedAt"));
+    return spec;
+}
+
+std::string encodeProgress(const Progress &progress)
+{
+    rapidjson::StringBuffer buffer;
+    Writer writer(buffer);
+    writer.StartObject();
+    put(writer, "state", std::string(jobStateName(progress.state)));
+    writer.Key("steps");
+    writer.StartArray();
+    for (const auto &[key, tasks] : progress.steps) {
+        writer.StartObject();
+        put(writer, "occurrence", int64_t(key.first));
+        put(writer, "step", int64_t(key.second));
+        put(writer, "count", int64_t(tasks.size()));
+        std::string done(tasks.size(), '.');
+        for (size_t index = 0; index < tasks.size(); ++index) {
+            if (tasks[index].isDone)
+                done[index] = 'd';
+        }
+        put(writer, "done", done);
+        writer.Key("others");
+        writer.StartArray();
+        for (size_t index = 0; index < tasks.size(); ++index) {
+            const TaskProgress &task = tasks[index];
+            if (task.isDone || task.isEmpty())
+                continue;
+            writer.StartObject();
+            put(writer, "index", int64_t(index));
+            put(writer, "failures", task.failures);
+            put(writer, "lastFailedAttempt", task.lastFailedAttempt);
+            put(writer, "checkpoint", task.checkpoint);
+            writer.EndObject();
+        }
+        writer.EndArray();
+        writer.EndObject();
+    }
+    writer.EndArray();
+    writer.EndObject();
+    return {buffer.GetString(), buffer.GetSize()};
+}
+
+absl::StatusOr<Progress> decodeProgress(const std::string &content)
+{
+    rapidjson::Document document;
+    document.Parse(content.data(), content.size());
+    if (document.HasParseError() || !document.IsObject() || !document.HasMember("steps")
+        || !document["steps"].IsArray())
+        return malformed("progress");
+    Progress progress;
+    const std::optional<JobState> state = jobStateFromName(text(document, "state"));
+    if (!state)
+        return malformed("progress");
+    progress.state = *state;
+    for (const Value &step : document["steps"].GetArray()) {
+        if (!step.IsObject() || !step.HasMember("others") || !step["others"].IsArray())
+            return malformed("progress");
+        std::vector<TaskProgress> tasks(size_t(number(step, "count")));
+        const std::string done = text(step, "done");
+        for (size_t index = 0; index < tasks.size() && index < done.size(); ++index)
+            tasks[index].isDone = done[index] == 'd';
+        for (const Value &other : step["others"].GetArray()) {
+            const auto index = size_t(number(other, "index"));
+            if (index >= tasks.size())
+                return malformed("progress");
+            tasks[index].failures = number(other, "failures");
+            tasks[index].lastFailedAttempt = number(other, "lastFailedAttempt");
+            tasks[index].checkpoint = text(other, "checkpoint");
+        }
+        progress.steps.emplace(
+                StepKey(uint32_t(number(step, "occurrence")), uint32_t(number(step, "step"))),
+                std::move(tasks));
+    }
+    return progress;
+}
+
+} // namespace cwl::jobs
--- /dev/null
+++ b/src/jobs/progress.h
@@ -0,0 +1,40 @@
+// What is known for good of a job: the part of its state that outlives its owner.
+
+#pragma once
+
+#include "jobs/types.h"
+
+#include <absl/status/statusor.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cwl::jobs {
+
+struct TaskProgress
+{
+    bool isDone = false;
+    int64_t failures = 0;          // runs that ended as failed
+    int64_t lastFailedAttempt = 0; // an end seen twice counts once
+    std::string checkpoint = {};   // newest one; empty: none
+
+    bool isEmpty() const { return !isDone && failures == 0 && checkpoint.empty(); }
+};
+
+// Occurrence and step to the step's tasks.
+using StepKey = std::pair<uint32_t, uint32_t>;
+
+struct Progress
+{
+    JobState state = JobState::Running;
+    std::map<StepKey, std::vector<TaskProgress>> steps = {};
+};
+
+// JSON texts for the platform's tables. Error: MalformedBody.
+std::string encodeProgress(const Progress &progress);
+absl::StatusOr<Progress> decodeProgress(const std::string &text);
+std::string encodeJob(const JobSpec &spec);
+absl::StatusOr<JobSpec> decodeJob(const std::string &text);
+
+} // namespace cwl::jobs
--- /dev/null
+++ b/src/jobs/runs.cpp
@@ -0,0 +1,469 @@
+// Runs on workers: what reports, ends and answers mean for the tasks.
+
+#include "jobs/dispatcher.h"
+
+#include "node/log.h"
+
+#include <algorithm>
+
+namespace cwl::jobs {
+
+namespace {
+
+constexpr double slownessWeight = 0.2;  // of the newest run in the smoothed figure
+constexpr double fastest = 0.2;         // bounds of one run's figure: estimates are rough
+constexpr double slowest = 8.0;
+constexpr Duration gangRetryPause = milliseconds(50);  // the last member's end may still come
+constexpr Duration unhealthyPause = milliseconds(1500);
+
+} // namespace
+
+// Section: lookup
+
+StepState *Dispatcher::findStep(Job &job, const TaskAddress &address)
+{
+    if (address.occurrence >= job.occurrences.size()
+        || address.step >= job.occurrences[address.occurrence].steps.size())
+        return nullptr;
+    return &job.occurrences[address.occurrence].steps[address.step];
+}
+
+Task *Dispatcher::findTask(Job &job, const TaskAddress &address)
+{
+    StepState *const step = findStep(job, address);
+    return step && address.index < step->tasks.size() ? &step->tasks[address.index] : nullptr;
+}
+
+const Step &Dispatcher::stepSpec(const Job &job, const TaskAddress &address) const
+{
+    return job.spec.steps[address.step];
+}
+
+// Section: adding and removing runs
+
+Run &Dispatcher::addRun(Worker &worker, Run run)
+{
+    const std::string text = run.address.text();
+    if (run.job) {
+        const Step &spec = stepSpec(*run.job, run.address);
+        run.room = spec.each;
+        if (spec.fill) {
+            run.fillCores = spec.each.cores;
+            run.room.cores = Millicores(0);
+        }
+        if (spec.tailTargetMs > 0)
+            ++worker.servingTargets;
+        StepState &step = *findStep(*run.job, run.address);
+        Task &task = *findTask(*run.job, run.address);
+        if (task.phase == Task::Phase::Waiting)
+            --step.waiting;
+        task.phase = Task::Phase::Active;
+        task.worker = &worker;
+        task.attempt = run.attempt;
+        ++step.perWorker[&worker];
+        ++run.job->activeRuns;
+        if (run.job->state == JobState::Queued)
+            run.job->state = JobState::Running;
+    } else {
+        ++worker.unknownRuns;
+    }
+    worker.used = worker.used + run.room;
+    worker.fillUsed += run.fillCores;
+    return worker.runs[text] = std::move(run);
+}
+
+// Takes the run away; the task, if it is still this run's, is left without a worker.
+void Dispatcher::removeRun(Worker &worker, const std::string &task)
+{
+    const auto found = worker.runs.find(task);
+    if (found == worker.runs.end())
+        return;
+    const Run run = found->second;
+    worker.runs.erase(found);
+    worker.used = worker.used - run.room;
+    worker.fillUsed -= run.fillCores;
+    Job *const job = run.job;
+    if (!job) {
+        --worker.unknownRuns;
+        return;
+    }
+    if (stepSpec(*job, run.address).tailTargetMs > 0)
+        --worker.servingTargets;
+    StepState &step = *findStep(*job, run.address);
+    const auto count = step.perWorker.find(&worker);
+    if (count != step.perWorker.end() && --count->second == 0)
+        step.perWorker.erase(count);
+    --job->activeRuns;
+    wait(*job, run.address);
+    if (job->activeRuns == 0 && isFinal(job->state))
+        std::erase(m_open, job);
+}
+
+// An active task waits again; one that is done stays so.
+void Dispatcher::wait(Job &job, const TaskAddress &address)
+{
+    Task &task = *findTask(job, address);
+    if (task.phase != Task::Phase::Active)
+        return;
+    task.phase = Task::Phase::Waiting;
+    task.worker = nullptr;
+    ++findStep(job, address)->waiting;
+}
+
+void Dispatcher::stopGang(Job &job, const TaskAddress &member)
+{
+    if (!stepSpec(job, member).gang)
+        return;
+    for (uint32_t index = 0; index < stepSpec(job, member).count; ++index) {
+        TaskAddress other = member;
+        other.index = index;
+        const Task &task = *findTask(job, other);
+        if (task.phase != Task::Phase::Active)
+            continue;
+        const auto run = task.worker->runs.find(other.text());
+        if (run != task.worker->runs.end())
+            run->second.phase = RunPhase::Stopping;
+    }
+    findStep(job, member)->retryAt = std::max(findStep(job, member)->retryAt, TimePoint());
+}
+
+// Section: ends
+
+void Dispatcher::noteDone(Job &job, const TaskAddress &address, TimePoint now)
+{
+    StepState &step = *findStep(job, address);
+    const Step &spec = stepSpec(job, address);
+    // One end stands for all members of a gang.
+    const uint32_t first = spec.gang ? 0 : address.index;
+    const uint32_t last = spec.gang ? spec.count : address.index + 1;
+    for (uint32_t index = first; index < last; ++index) {
+        Task &task = step.tasks[index];
+        if (task.phase == Task::Phase::Done)
+            continue;
+        if (task.phase == Task::Phase::Waiting)
+            --step.waiting;
+        else if (!spec.gang) {
+            // A later run of a task whose first run came to its end after all.
+            const auto run = task.worker->runs.find(address.text());
+            if (run != task.worker->runs.end())
+                run->second.phase = RunPhase::Stopping;
+        }
+        task.phase = Task::Phase::Done;
+        task.progress.isDone = true;
+        task.progress.checkpoint.clear();
+        ++step.done;
+    }
+    if (job.state == JobState::Queued)
+        job.state = JobState::Running;
+    markDirty(job);
+    if (step.isDone())
+        checkDone(job, job.occurrences[address.occurrence], now);
+}
+
+void Dispatcher::noteFailed(Job &job, const TaskAddress &address, int64_t attempt, Worker &worker,
+                            TimePoint now)
+{
+    const Step &spec = stepSpec(job, address);
+    StepState &step = *findStep(job, address);
+    Task &task = step.tasks[address.index];
+    // All members of a gang share one count, kept at its first task.
+    TaskProgress &progress = spec.gang ? step.tasks[0].progress : task.progress;
+    task.lastFailedOn = worker.entry.id;
+    if (attempt <= progress.lastFailedAttempt)
+        return;
+    ++progress.failures;
+    progress.lastFailedAttempt = attempt;
+    markDirty(job);
+    if (!spec.lasting && progress.failures >= job.spec.queue.maxAttempts) {
+        log::info("job_out_of_attempts", {{"job", job.spec.id.value()},
+                                          {"task", address.text()},
+                                          {"failures", progress.failures},
+                                          {"worker", worker.entry.id.value()}});
+        finishJob(job, JobState::Failed, now);
+    }
+}
+
+void Dispatcher::endRun(Worker &worker, const EndedTask &end, TimePoint now)
+{
+    ++m_figures.ended;
+    const std::optional<TaskAddress> address = TaskAddress::parse(end.task);
+    Job *const job = address ? findJob(address->job) : nullptr;
+    Task *const task = job ? findTask(*job, *address) : nullptr;
+    const auto run = worker.runs.find(end.task);
+    const bool isCurrent = run != worker.runs.end() && run->second.attempt <= end.attempt;
+    Run ended;
+    if (isCurrent)
+        ended = run->second;
+    if (!task || (end.kind != EndKind::Done && !isCurrent && task->phase == Task::Phase::Done)) {
+        if (isCurrent)
+            removeRun(worker, end.task);
+        return;
+    }
+    if (end.kind != EndKind::Done)
+        log::info("run_ended", {{"task", end.task},
+                                {"attempt", end.attempt},
+                                {"how", endKindName(end.kind)},
+                                {"worker", worker.entry.id.value()},
+                                {"end", end.number}});
+    task->attempt = std::max(task->attempt, end.attempt);
+    if (!end.checkpoint.empty() && task->phase != Task::Phase::Done
+        && end.checkpoint != task->progress.checkpoint) {
+        task->progress.checkpoint = end.checkpoint;
+        markDirty(*job);
+    }
+    if (end.kind == EndKind::Done) {
+        const Duration estimate = stepSpec(*job, *address).estimate;
+        if (isCurrent && ended.confirmedAt != TimePoint() && estimate > Duration::zero()
+            && task->progress.checkpoint.empty()) {
+            const double ratio = std::clamp(double((now - ended.confirmedAt).count())
+                                                    / double(estimate.count()),
+                                            fastest, slowest);
+            worker.slowness += slownessWeight * (ratio - worker.slowness);
+        }
+        worker.failuresInRow = 0;
+        noteDone(*job, *address, now);
+    } else if (end.kind == EndKind::Failed) {
+        if (++worker.failuresInRow >= shunFailures) {
+            worker.shunnedUntil = now + shunTime;
+            log::warn("worker_shunned", {{"worker", worker.entry.id.value()},
+                                         {"failures", worker.failuresInRow},
+                                         {"time", shunTime}});
+        }
+        noteFailed(*job, *address, end.attempt, worker, now);
+    }
+    if (end.kind != EndKind::Done && stepSpec(*job, *address).gang) {
+        stopGang(*job, *address);
+        findStep(*job, *address)->retryAt = now + gangRetryPause;
+    }
+    if (isCurrent)
+        removeRun(worker, end.task);
+}
+
+void Dispatcher::loseRuns(Worker &worker, const char *reason, TimePoint now)
+{
+    if (worker.runs.empty())
+        return;
+    log::warn("worker_runs_lost", {{"worker", worker.entry.id.value()},
+                                   {"reason", reason},
+                                   {"runs", worker.runs.size()},
+                                   {"report_age", now - worker.lastReport}});
+    m_figures.lost += worker.runs.size();
+    std::vector<std::pair<std::string, Run>> lost(worker.runs.begin(), worker.runs.end());
+    for (const auto &[task, run] : lost) {
+        if (run.job)
+            stopGang(*run.job, run.address);
+        removeRun(worker, task);
+    }
+}
+
+// Section: reports
+
+void Dispatcher::noteRunning(Worker &worker, const RunningTask &running, TimePoint now)
+{
+    const auto known = worker.runs.find(running.task);
+    if (known != worker.runs.end()) {
+        Run &run = known->second;
+        if (run.attempt != running.attempt)
+            return; // the order of the newer attempt is on its way
+        if (run.phase == RunPhase::Ordered)
+            run.phase = RunPhase::Running;
+        if (run.confirmedAt == TimePoint()) {
+            run.confirmedAt = now;
+            run.percentAt = now;
+        }
+        if (running.percent != run.percent) {
+            run.percent = running.percent;
+            run.percentAt = now;
+        }
+        run.figure = running.figure;
+        if (run.job && !running.checkpoint.empty())
+            findTask(*run.job, run.address)->progress.checkpoint = running.checkpoint;
+        return;
+    }
+    Run run;
+    run.attempt = running.attempt;
+    run.phase = RunPhase::Running;
+    run.orderedAt = now;
+    run.confirmedAt = now;
+    run.percent = running.percent;
+    run.percentAt = now;
+    const std::optional<TaskAddress> address = TaskAddress::parse(running.task);
+    if (!address)
+        return;
+    run.address = *address;
+    Job *const job = findJob(address->job);
+    Task *const task = job ? findTask(*job, *address) : nullptr;
+    const bool isAdopted =
+            task && task->phase == Task::Phase::Waiting && !isFinal(job->state)
+            && running.attempt > task->progress.lastFailedAttempt;
+    log::info(isAdopted ? "run_adopted" : "run_unexpected", {{"task", running.task},
+                                                             {"attempt", running.attempt},
+                                                             {"worker", worker.entry.id.value()},
+                                                             {"job_known", job != nullptr}});
+    if (isAdopted) {
+        run.job = job;
+        if (!running.checkpoint.empty())
+            task->progress.checkpoint = running.checkpoint;
+        addRun(worker, std::move(run));
+        return;
+    }
+    run.phase = RunPhase::Stopping;
+    addRun(worker, std::move(run));
+}
+
+// A run that is certain to have begun or to have been refused for good, and is not listed any
+// more, is over.
+void Dispatcher::checkUnlisted(Worker &worker, const WorkerReport &report, TimePoint sentAt,
+                               TimePoint now)
+{
+    std::unordered_map<std::string, int64_t> listed;
+    for (const RunningTask &running : report.running)
+        listed.emplace(running.task, running.attempt);
+    std::vector<std::pair<std::string, Run>> over;
+    for (const auto &[task, run] : worker.runs) {
+        const bool isListed = listed.contains(task);
+        const bool wasConfirmed = run.confirmedAt != TimePoint() && run.confirmedAt < sentAt;
+        const bool wasStopped = run.stopAckedAt != TimePoint() && run.stopAckedAt < sentAt;
+        if (!isListed && (wasConfirmed || wasStopped))
+            over.emplace_back(task, run);
+    }
+    for (const auto &[task, run] : over) {
+        if (!run.job || run.stopAckedAt == TimePoint())
+            log::warn("run_vanished", {{"task", task},
+                                       {"attempt", run.attempt},
+                                       {"worker", worker.entry.id.value()}});
+        if (run.job)
+            stopGang(*run.job, run.address);
+        removeRun(worker, task);
+    }
+    (void)now;
+}
+
+void Dispatcher::checkStall(Worker &worker, Run &run, TimePoint now)
+{
+    const bool isWorking = run.job && run.phase == RunPhase::Running && run.pace == 100
+            && run.confirmedAt != TimePoint();
+    if (!isWorking || now - run.percentAt < stallLimit)
+        return;
+    const Step &spec = stepSpec(*run.job, run.address);
+    if (spec.fill || spec.gang || (spec.lasting && run.percent >= 100))
+        return;
+    ++m_figures.stalled;
+    log::warn("run_stalled", {{"task", run.address.text()},
+                              {"attempt", run.attempt},
+                              {"worker", worker.entry.id.value()},
+                              {"percent", run.percent},
+                              {"unchanged", now - run.percentAt}});
+    run.phase = RunPhase::Stopping;
+    worker.shunnedUntil = std::max(worker.shunnedUntil, now + shunTime);
+}
+
+void Dispatcher::onReport(const WorkerId &id, const WorkerReport &report, TimePoint sentAt,
+                          TimePoint now)
+{
+    const auto found = m_workers.find(id.value());
+    if (found == m_workers.end())
+        return;
+    Worker &worker = *found->second;
+    if (worker.born != 0 && report.born != 0 && report.born != worker.born) {
+        loseRuns(worker, "restarted", now);
+        worker.endsProcessed = 0;
+        worker.endsAcknowledged = 0;
+        worker.slowness = 1;
+    }
+    if (report.born != 0)
+        worker.born = report.born;
+    if (!worker.isRead) {
+        worker.isRead = true;
+        log::debug("worker_read", {{"worker", id.value()}, {"running", report.running.size()}});
+    }
+    worker.clockMs = report.clockMs;
+    worker.clockAt = now;
+    worker.lastReport = now;
+    for (const EndedTask &end : report.ended) {
+        if (end.number <= worker.endsProcessed)
+            continue;
+        worker.endsProcessed = end.number;
+        m_hasUnstoredEnds = true;
+        endRun(worker, end, now);
+    }
+    for (const RunningTask &running : report.running)
+        noteRunning(worker, running, now);
+    checkUnlisted(worker, report, sentAt, now);
+    for (auto &[task, run] : worker.runs)
+        checkStall(worker, run, now);
+}
+
+// Section: answers
+
+void Dispatcher::onStartAnswered(const StartOrder &order, OrderAnswer answer, TimePoint now)
+{
+    const auto found = m_workers.find(order.worker.value());
+    if (found == m_workers.end())
+        return;
+    Worker &worker = *found->second;
+    const auto entry = worker.runs.find(order.task);
+    if (entry == worker.runs.end() || entry->second.attempt != order.attempt)
+        return; // it has ended already
+    Run &run = entry->second;
+    switch (answer) {
+    case OrderAnswer::Accepted:
+        if (run.confirmedAt == TimePoint()) {
+            run.confirmedAt = now;
+            run.percentAt = now;
+        }
+        if (run.phase == RunPhase::Ordered)
+            run.phase = RunPhase::Running;
+        return;
+    case OrderAnswer::Unknown:
+        ++m_figures.unanswered;
+        log::info("start_unanswered", {{"task", order.task},
+                                       {"attempt", order.attempt},
+                                       {"worker", order.worker.value()}});
+        run.phase = RunPhase::Stopping;
+        if (run.job)
+            stopGang(*run.job, run.address);
+        return;
+    case OrderAnswer::NoRoom:
+    case OrderAnswer::Unhealthy:
+    case OrderAnswer::WrongWorker:
+    case OrderAnswer::NotSent:
+        worker.shunnedUntil = std::max(worker.shunnedUntil, now + unhealthyPause);
+        break;
+    case OrderAnswer::BadTicket:
+        if (run.job)
+            findStep(*run.job, run.address)->advice.allowed.erase(order.worker.value());
+        break;
+    case OrderAnswer::Fenced:
+    case OrderAnswer::Superseded:
+    case OrderAnswer::Late:
+    case OrderAnswer::Invalid:
+        break;
+    }
+    ++m_figures.refused;
+    log::info("start_refused", {{"task", order.task},
+                                {"attempt", order.attempt},
+                                {"worker", order.worker.value()},
+                                {"answer", orderAnswerName(answer)},
+                                {"lease_until", order.leaseUntilMs},
+                                {"worker_clock", worker.clockMs}});
+    if (run.job) {
+        Job &job = *run.job;
+        const TaskAddress address = run.address;
+        stopGang(job, address);
+        findStep(job, address)->retryAt = now + gangRetryPause;
+    }
+    removeRun(worker, order.task);
+}
+
+void Dispatcher::onStopAnswered(const StopOrder &order, OrderAnswer answer, TimePoint now)
+{
+    const auto found = m_workers.find(order.worker.value());
+    if (found == m_workers.end() || answer != OrderAnswer::Accepted)
+        return;
+    const auto run = found->second->runs.find(order.task);
+    if (run != found->second->runs.end() && run->second.attempt == order.attempt)
+        run->second.stopAckedAt = now;
+}
+
+} // namespace cwl::jobs
--- /dev/null
+++ b/src/jobs/state.h
@@ -0,0 +1,141 @@
+// The state of jobs and workers inside the dispatcher. Internal to this library.
+
+#pragma once
+
+#include "jobs/progress.h"
+#include "jobs/types.h"
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cwl::jobs {
+
+struct Job;
+struct Worker;
+
+// Section: runs
+
+enum class RunPhase {
+    Ordered,  // the start was sent, nothing is known yet
+    Running,  // the worker has confirmed it
+    Stopping, // it is to end: stops are sent until its end is certain
+};
+
+// One run of a task on one worker, from the order to its certain end. Holds room all the while.
+struct Run
+{
+    Job *job = nullptr; // none: a run of a task that this owner knows nothing of
+    TaskAddress address;
+    int64_t attempt = 0;
+    Resources room = {};
+    Millicores fillCores = {};  // used but not reserved
+    RunPhase phase = RunPhase::Ordered;
+    TimePoint orderedAt = {};
+    TimePoint confirmedAt = {};
+    TimePoint stopSentAt = {};  // the last one
+    TimePoint stopAckedAt = {}; // zero: no stop was answered yet
+    int64_t percent = 0;
+    TimePoint percentAt = {}; // when it last changed
+    int64_t figure = 0;
+    int64_t pace = 100;     // percent of full speed
+    TimePoint overSince = {}; // serving task: its tail has been over the target since; zero: it is not
+};
+
+// Section: jobs
+
+struct Task
+{
+    enum class Phase { Waiting, Active, Done };
+    Phase phase = Phase::Waiting;
+    Worker *worker = nullptr;      // of an active task
+    int64_t attempt = 0;           // the last one used
+    WorkerId lastFailedOn = {};    // not chosen again while others have room
+    TaskProgress progress = {};
+};
+
+struct Ticket
+{
+    std::string text;
+    TimePoint expires;
+    int64_t born = 0; // life of the worker that it is for
+};
+
+// What the advice service has said about one step.
+struct Advice
+{
+    std::unordered_map<std::string, Ticket> allowed = {}; // by worker id
+    std::unordered_map<std::string, bool> asked = {};     // worker id to its answer
+    bool isAsking = false;
+    TimePoint retryAt = {};
+};
+
+struct StepState
+{
+    std::vector<Task> tasks = {};
+    uint32_t done = 0;
+    uint32_t waiting = 0;
+    std::unordered_map<const Worker *, uint32_t> perWorker = {}; // active tasks
+    Advice advice = {};
+    TimePoint retryAt = {}; // not placed before
+
+    bool isDone() const { return done == tasks.size(); }
+};
+
+struct Occurrence
+{
+    uint32_t number = 0;
+    std::vector<StepState> steps = {};
+    bool isDone = false;
+};
+
+struct Job
+{
+    JobSpec spec;
+    std::vector<Occurrence> occurrences = {}; // those that have come due
+    JobState state = JobState::Queued;
+    JobState shown = JobState::Queued; // as callers are told: final states only once stored
+    bool isCancelled = false;
+    bool isDirty = false;
+    uint64_t changes = 0;  // rises whenever something is to be stored
+    bool isRestored = false; // its tasks may run where an earlier owner started them
+    uint32_t occurrencesDone = 0;
+    uint32_t activeRuns = 0;
+    TimePoint arrived = {};
+    TimePoint objective = {};
+    TimePoint hopeless = {}; // completing it after this earns nothing
+    TimePoint finishedAt = {};
+};
+
+// Section: workers
+
+struct Worker
+{
+    WorkerEntry entry;
+    bool isListed = true;
+    bool isRead = false;         // it has reported to this owner
+    Resources used = {};
+    Millicores fillUsed = {};
+    int64_t born = 0;            // of the life that reported last
+    int64_t clockMs = 0;         // its clock ...
+    TimePoint clockAt = {};      // ... no later than at this instant
+    TimePoint lastReport = {};
+    TimePoint leaseEnds = {};    // everything there has ended by then unless it is renewed
+    int64_t endsProcessed = 0;
+    int64_t endsAcknowledged = 0; // what they mean is stored
+    std::unordered_map<std::string, Run> runs = {}; // by task
+    uint32_t unknownRuns = 0;    // whose room is not known
+    uint32_t servingTargets = 0; // runs with a target for their response times
+    uint32_t failuresInRow = 0;
+    TimePoint shunnedUntil = {}; // starts nothing before
+    TimePoint drainDeadline = {}; // zero: not known
+    double slowness = 1;         // run times against estimates, smoothed
+};
+
+inline Resources freeRoom(const Worker &worker)
+{
+    return worker.entry.capacity - worker.used;
+}
+
+} // namespace cwl::jobs
--- /dev/null
+++ b/src/jobs/types.h
@@ -0,0 +1,169 @@
+// Jobs as graphs of steps, the queues that they come through and the workers that run their tasks.
+// Plain data: no I/O, no clock.
+
+#pragma once
+
+#include "base/clock.h"
+#include "base/strongid.h"
+#include "base/units.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cwl::jobs {
+
+// Section: queues
+
+// The policy service that decides where the steps of a queue may run.
+struct AdvicePolicy
+{
+    Duration decision = {}; // of one call
+    Duration perWorker = {}; // added for each worker that the call names
+    Duration validity = {}; // of a ticket
+};
+
+// A queue as the configuration in force describes it.
+struct Queue
+{
+    std::string name;         // key of the queue
+    std::string host;         // of the callers' requests
+    std::string prefix;       // of the callers' paths
+    std::string service;      // whose workers run the tasks
+    int64_t priority = 0;     // 0 comes first
+    int64_t maxAttempts = 1;  // failed runs of one task after which the job fails
+    double stretch = 1;       // the objective is this many times the longest chain of work ...
+    Duration allowance = {};  // ... and this much more
+    std::optional<AdvicePolicy> advice = {};
+};
+
+// The configuration in force.
+struct CellConfig
+{
+    int64_t version = 0;
+    std::vector<Queue> queues = {};
+    std::vector<std::string> services = {};
+    size_t maxBodyBytes = 262144;
+};
+
+// Section: jobs
+
+struct Step
+{
+    uint32_t count = 1;            // tasks
+    Resources each = {};           // room of one task
+    Duration estimate = {};        // rough run time of one task
+    std::vector<uint32_t> after = {}; // numbers of the steps that must be done before
+    std::string label = {};        // that the worker must have; may be empty
+    std::string rack = {};         // where the data is; may be empty
+    std::string image = {};        // tasks of one image behave alike; may be empty
+    uint32_t maxPerWorker = 0;     // tasks of the step on one worker; 0: no limit
+    uint32_t maxUnavailable = 0;   // tasks that the system may take away at once; 0: no limit
+    int64_t tailTargetMs = 0;      // limit of a serving task's response times; 0: none
+    bool checkpoints = false;      // progress is saved while it runs
+    bool gang = false;             // the tasks work only together
+    bool rackLocal = false;        // a gang that is slower on more than one rack
+    bool speculative = false;      // copies may run
+    bool lasting = false;          // runs until the job is cancelled
+    bool fill = false;             // uses the cores that others leave; they are not reserved
+};
+
+struct JobSpec
+{
+    JobId id;
+    Queue queue;              // as it was at acceptance
+    std::string payload = {}; // handed to each task
+    std::vector<Step> steps = {};
+    uint32_t times = 0;       // occurrences; 0: once, at once
+    UnixMilliseconds firstAt = {};
+    Duration interval = {};   // between occurrences
+    UnixMilliseconds acceptedAt = {};
+};
+
+// One task. Its text form is "job.occurrence.step.index".
+struct TaskAddress
+{
+    JobId job;
+    uint32_t occurrence = 0;
+    uint32_t step = 0;
+    uint32_t index = 0;
+
+    bool operator==(const TaskAddress &) const = default;
+    std::string text() const;
+    std::string stepText() const; // "job.occurrence.step"
+    static std::optional<TaskAddress> parse(const std::string &text);
+};
+
+enum class JobState { Queued, Running, Completed, Failed, Cancelled };
+const char *jobStateName(JobState state);
+std::optional<JobState> jobStateFromName(const std::string &name);
+inline bool isFinal(JobState state)
+{
+    return state != JobState::Queued && state != JobState::Running;
+}
+
+// Section: workers
+
+// What the platform's list says of a worker.
+struct WorkerEntry
+{
+    WorkerId id;
+    std::string address; // "ip:port"
+    std::string service;
+    DataCentreId dataCentre;
+    Resources capacity;
+    std::vector<std::string> labels = {}; // its kind and its rack
+    bool isDraining = false;
+    std::optional<Duration> remaining = {}; // of a draining worker, at least
+    int64_t born = 0;                       // Unix milliseconds of its start; tells lives apart
+};
+
+struct RunningTask
+{
+    std::string task;
+    int64_t attempt = 0;
+    std::string checkpoint = {}; // empty: none
+    int64_t percent = 0;
+    int64_t figure = 0; // serving task: tail in ms; others: cores in use
+};
+
+enum class EndKind { Done, Failed, Stopped, Lapsed, Broken, Alone, Unknown };
+const char *endKindName(EndKind kind);
+
+struct EndedTask
+{
+    int64_t number = 0; // rises within one life of the worker
+    std::string task;
+    int64_t attempt = 0;
+    EndKind kind = EndKind::Unknown;
+    std::string checkpoint = {};
+};
+
+// A worker's answer to a look at it.
+struct WorkerReport
+{
+    int64_t clockMs = 0; // the worker's clock
+    int64_t born = 0;    // 0: not said
+    std::vector<RunningTask> running = {};
+    std::vector<EndedTask> ended = {};
+};
+
+// What a worker said to an order.
+enum class OrderAnswer {
+    Accepted,
+    Fenced,      // a newer owner has been there
+    Superseded,  // a run at least as new has ended there
+    Late,        // the lease in the order has ended already
+    NoRoom,
+    BadTicket,
+    Invalid,     // the worker can't read the order
+    Unhealthy,   // nothing was done
+    WrongWorker, // another one answers at the address
+    NotSent,     // no connection: nothing was done
+    Unknown,     // no answer: it may be carried out, also later
+};
+const char *orderAnswerName(OrderAnswer answer);
+
+} // namespace cwl::jobs
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -149,7 +149,7 @@
     server = *std::move(opened);
     // A write to a connection that the peer closed is an error of that write, not of the process.
     std::signal(SIGPIPE, SIG_IGN);
-    for (const int signal : {SIGTERM, SIGINT, SIGUSR1})
+    for (const int signal : {SIGTERM, SIGINT, SIGUSR1, SIGHUP})
         m_signals.add(signal);
     awaitSignal();
     startThreads();
@@ -299,6 +299,11 @@
 {
     if (signal == SIGUSR1)
         return logState();
+    if (signal == SIGHUP) {
+        // Settings of a process hold for its life; what may change while it runs is in the store.
+        log::info("reload", {{"settings", "unchanged"}});
+        return;
+    }
     beginStop(signal == SIGTERM ? "sigterm" : "sigint");
 }
 
