Ask for advice less and in order; count failed attempts as a set

Change: a step asks only when there is room for it, with a pause of three times a question's time; the router serves urgent questions first and keeps two callers free of long ones; failed attempts are kept as a set. A member that finds a newer owner in the row no longer takes over from it.

--- a/src/cell/advicerouter.cpp
+++ b/src/cell/advicerouter.cpp
@@ -85,6 +85,7 @@
             continue;
         }
         auto caller = std::make_shared<Caller>();
+        caller->address = address;
         caller->client = *std::move(client);
         m_callers.emplace(address, std::move(caller));
     }
@@ -92,47 +93,96 @@
 
 void AdviceRouter::ask(const jobs::AdviceQuery &query, AdviceService::Callback callback)
 {
-    const TimePoint now = BootClock::now();
+    m_waiting.emplace(query.priority, Question{query, BootClock::now() + adviceQueueLimit,
+                                               std::move(callback)});
+    serve();
+}
+
+std::shared_ptr<AdviceRouter::Caller> AdviceRouter::freeCaller(bool isLong, TimePoint now) const
+{
     std::shared_ptr<Caller> best;
-    std::string bestAddress;
+    size_t withoutLong = 0;
     for (const auto &[address, caller] : m_callers) {
         if (now < caller->pausedUntil)
             continue;
-        if (!best || caller->busyUntil < best->busyUntil) {
+        withoutLong += caller->hasLong ? 0 : 1;
+        const bool isFree = !caller->hasLong && caller->underWay < (isLong ? 1 : 2);
+        if (isFree && (!best || caller->underWay < best->underWay))
             best = caller;
-            bestAddress = address;
+    }
+    if (isLong && m_callers.size() > callersKeptForShort && withoutLong <= callersKeptForShort)
+        return nullptr;
+    return best;
+}
+
+void AdviceRouter::serve()
+{
+    const TimePoint now = BootClock::now();
+    for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
+        if (now >= entry->second.giveUpAt) {
+            const AdviceService::Callback callback = std::move(entry->second.callback);
+            entry = m_waiting.erase(entry);
+            callback(makeError(Failure::QueueFull, "all callers of the advice service are busy"));
+            continue;
         }
+        const bool isLong = entry->second.query.expected > shortQuestion;
+        const std::shared_ptr<Caller> caller = freeCaller(isLong, now);
+        if (!caller) {
+            ++entry;
+            continue;
+        }
+        Question question = std::move(entry->second);
+        entry = m_waiting.erase(entry);
+        send(caller, std::move(question));
     }
-    if (!best || best->busyUntil - now > longestAdviceQueue) {
-        callback(makeError(Failure::QueueFull, "all callers of the advice service are busy"));
-        return;
+}
+
+void AdviceRouter::onAnswer(const std::shared_ptr<Caller> &caller, bool isLong,
+                            const AdviceService::Callback &callback,
+                            const absl::StatusOr<std::vector<jobs::AllowedWorker>> &allowed)
+{
+    --caller->underWay;
+    if (isLong)
+        caller->hasLong = false;
+    if (!allowed.ok()) {
+        caller->pausedUntil = BootClock::now() + callerPause;
+        log::info("advice_caller_failed",
+                  {{"member", caller->address}, {"error", allowed.status()}});
     }
-    best->busyUntil = std::max(now, best->busyUntil) + query.expected;
-    const TimePoint deadline = best->busyUntil + adviceSlack;
-    const std::string step = query.step.stepText();
-    if (!best->client) {
-        m_local.ask(step, query.workers, deadline, std::move(callback));
+    callback(allowed);
+    serve();
+}
+
+void AdviceRouter::send(const std::shared_ptr<Caller> &caller, Question question)
+{
+    const bool isLong = question.query.expected > shortQuestion;
+    ++caller->underWay;
+    caller->hasLong = caller->hasLong || isLong;
+    const TimePoint deadline = BootClock::now() + 2 * question.query.expected + adviceSlack;
+    const std::string step = question.query.step.stepText();
+    auto onDone = [this, alive = m_alive, caller, isLong, callback = std::move(question.callback)](
+                          const absl::StatusOr<std::vector<jobs::AllowedWorker>> &allowed) {
+        if (*alive)
+            onAnswer(caller, isLong, callback, allowed);
+    };
+    if (!caller->client) {
+        m_local.ask(step, question.query.workers, deadline, std::move(onDone));
         return;
     }
     http::Request request;
     request.method = "POST";
     request.path = "/cell/advise";
-    request.body = encodeAdviceQuestion(step, query.workers);
-    best->client->send(
-            std::move(request), deadline,
-            [best, bestAddress, callback = std::move(callback)](
-                    absl::StatusOr<http::Response> response) {
-                if (response.ok() && response->status == 200) {
-                    callback(decodeAdviceAnswer(response->body));
-                    return;
-                }
-                best->pausedUntil = BootClock::now() + callerPause;
-                const absl::Status error = response.ok()
-                        ? makeError(Failure::ProtocolError, "a member did not pass on a question")
-                        : response.status();
-                log::info("advice_caller_failed", {{"member", bestAddress}, {"error", error}});
-                callback(error);
-            });
+    request.body = encodeAdviceQuestion(step, question.query.workers);
+    caller->client->send(std::move(request), deadline,
+                         [onDone](const absl::StatusOr<http::Response> &response) {
+                             if (!response.ok())
+                                 onDone(response.status());
+                             else if (response->status != 200)
+                                 onDone(makeError(Failure::ProtocolError,
+                                                  "the member did not pass on the question"));
+                             else
+                                 onDone(decodeAdviceAnswer(response->body));
+                         });
 }
 
 } // namespace cwl::cell
--- a/src/cell/advicerouter.h
+++ b/src/cell/advicerouter.h
@@ -16,7 +16,9 @@
 
 namespace cwl::cell {
 
-constexpr Duration longestAdviceQueue = milliseconds(1500); // of questions at one caller
+constexpr Duration adviceQueueLimit = milliseconds(1200);   // of a question that waits for a caller
+constexpr Duration shortQuestion = milliseconds(60);        // a caller takes two of these at once
+constexpr size_t callersKeptForShort = 2;                   // which long questions do not use
 constexpr Duration adviceSlack = milliseconds(1200);        // beyond the expected time
 constexpr Duration callerPause = seconds(2);                // after a failure of a caller
 
@@ -35,20 +37,37 @@
     // Addresses of the other members, "ip:port".
     void setMembers(const std::vector<std::string> &addresses);
 
-    // Error: QueueFull when every caller is busy for too long; those of the call otherwise.
+    // Error: QueueFull when no caller was free in time; those of the call otherwise.
     void ask(const jobs::AdviceQuery &query, AdviceService::Callback callback);
 
 private:
     struct Caller
     {
+        std::string address;                  // empty: this process
         std::unique_ptr<http::Client> client; // none: this process
-        TimePoint busyUntil = {};
+        size_t underWay = 0;
+        bool hasLong = false;
         TimePoint pausedUntil = {};
     };
+    struct Question
+    {
+        jobs::AdviceQuery query;
+        TimePoint giveUpAt;
+        AdviceService::Callback callback;
+    };
+
+    void serve();
+    std::shared_ptr<Caller> freeCaller(bool isLong, TimePoint now) const;
+    void send(const std::shared_ptr<Caller> &caller, Question question);
+    void onAnswer(const std::shared_ptr<Caller> &caller, bool isLong,
+                  const AdviceService::Callback &callback,
+                  const absl::StatusOr<std::vector<jobs::AllowedWorker>> &allowed);
 
     boost::asio::io_context &m_context;
     AdviceService &m_local;
-    std::map<std::string, std::shared_ptr<Caller>> m_callers; // by address; "" is this process
+    std::map<std::string, std::shared_ptr<Caller>> m_callers; // by address
+    std::multimap<int64_t, Question> m_waiting;               // by priority
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 } // namespace cwl::cell
--- a/src/cell/ownership.cpp
+++ b/src/cell/ownership.cpp
@@ -187,6 +187,13 @@
                          }
                          previous = *row;
                          revision = page->rows[0].revision;
+                         if (previous.epoch > m_owner.epoch && !previous.holder.empty()) {
+                             // Another member was first; its renewals have not been seen yet.
+                             m_owner = previous;
+                             m_leaseChanged = BootClock::now();
+                             m_events.changed(m_owner);
+                             return;
+                         }
                      }
                      writeTakeover(previous, revision);
                  });
--- a/src/cell/ownership.h
+++ b/src/cell/ownership.h
@@ -28,10 +28,10 @@
 
 // Section: limits
 
-constexpr Duration renewInterval = milliseconds(400);
-constexpr Duration silenceLimit = milliseconds(1600);  // four renewals
+constexpr Duration renewInterval = milliseconds(300);
+constexpr Duration silenceLimit = milliseconds(1200);  // four renewals
 constexpr Duration takeoverJitter = milliseconds(250); // so that members do not all write at once
-constexpr Duration followWait = milliseconds(500);     // of one look at the renewals
+constexpr Duration followWait = milliseconds(400);     // of one look at the renewals
 constexpr Duration followTimeout = milliseconds(1200); // beyond its wait
 constexpr Duration storeCallTimeout = milliseconds(1500);
 constexpr Duration storeRetryPause = milliseconds(150);
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -234,7 +234,8 @@
             for (size_t index = 0; index < step.tasks.size() && index < tasks.size(); ++index) {
                 Task &task = step.tasks[index];
                 task.progress = tasks[index];
-                task.attempt = task.progress.lastFailedAttempt;
+                for (const int64_t attempt : task.progress.failedAttempts)
+                    task.attempt = std::max(task.attempt, attempt);
                 if (!task.progress.isDone)
                     continue;
                 task.phase = Task::Phase::Done;
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -85,6 +85,7 @@
 {
     TaskAddress step; // its index means nothing
     std::vector<WorkerId> workers;
+    int64_t priority = 0;   // of the queue
     Duration expected = {}; // time that the service takes
 };
 
@@ -204,6 +205,11 @@
         Occurrence *occurrence = nullptr;
         uint32_t step = 0;
     };
+    enum class Placed {
+        All,
+        NoWorker, // none has room and, where one is needed, a ticket
+        Reserved, // the room that is left is kept for urgent queues
+    };
     struct ServiceRoom
     {
         Resources capacity = {};
@@ -243,8 +249,8 @@
     // Section: placement (placement.cpp)
     std::vector<Candidate> candidates(TimePoint now);
     void place(const Candidate &candidate, Orders &orders, TimePoint now);
-    bool placeTasks(const Candidate &candidate, Orders &orders, TimePoint now);
-    bool placeGang(const Candidate &candidate, Orders &orders, TimePoint now);
+    Placed placeTasks(const Candidate &candidate, Orders &orders, TimePoint now);
+    Placed placeGang(const Candidate &candidate, Orders &orders, TimePoint now);
     Worker *chooseWorker(const Candidate &candidate, const Task &task, TimePoint now);
     bool isUsable(const Worker &worker, const Candidate &candidate, TimePoint now) const;
     bool hasRoom(const Worker &worker, const Step &step) const;
@@ -253,6 +259,7 @@
     void reserve(const Candidate &candidate, TimePoint now);
     void start(const Candidate &candidate, uint32_t index, Worker &worker, int64_t attempt,
                Orders &orders, TimePoint now);
+    std::vector<WorkerId> chooseAsked(const Candidate &candidate, TimePoint now);
     void askAdvice(const Candidate &candidate, Orders &orders, TimePoint now);
     void askEarly(Job &job, Orders &orders, TimePoint now);
     int64_t leaseDeadline(Worker &worker, TimePoint now);
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -22,7 +22,9 @@
 constexpr double firstAllowedShare = 0.5;  // of the workers asked about, before any answer
 constexpr double allowedShareWeight = 0.1; // of the newest answer
 constexpr double adviceSurplus = 1.4;      // places asked for, against places needed
-constexpr Duration adviceRetryPause = milliseconds(300);
+constexpr double leastAllowedShare = 0.1;
+constexpr int adviceRepeatFactor = 3;      // pause between questions, against the time of one
+constexpr Duration adviceRetryPause = milliseconds(100);
 constexpr Duration adviceEarly = milliseconds(60); // before the step is expected to be ready
 constexpr Duration drainMargin = milliseconds(1300); // a stop takes up to 0.9 s
 
@@ -42,6 +44,19 @@
     return std::max(Duration::zero(), spec.estimate - elapsed);
 }
 
+// Tasks of the step that fit into `room`.
+int64_t tasksThatFit(const Resources &room, const Step &step)
+{
+    int64_t fits = step.maxPerWorker > 0 ? step.maxPerWorker : step.count;
+    if (step.each.cores.value() > 0 && !step.fill)
+        fits = std::min(fits, room.cores.value() / step.each.cores.value());
+    if (step.each.memory.value() > 0)
+        fits = std::min(fits, room.memory.value() / step.each.memory.value());
+    if (step.each.accelerators.value() > 0)
+        fits = std::min(fits, room.accelerators.value() / step.each.accelerators.value());
+    return std::max<int64_t>(0, fits);
+}
+
 bool hasLabel(const Worker &worker, const std::string &label)
 {
     return label.empty()
@@ -148,13 +163,13 @@
     const auto room = m_rooms.find(candidate.job->spec.queue.service);
     if (room == m_rooms.end() || room->second.unplaced > maxUnplacedSteps)
         return;
-    const bool isPlaced = candidate.job->spec.steps[candidate.step].gang
+    const Placed placed = candidate.job->spec.steps[candidate.step].gang
             ? placeGang(candidate, orders, now)
             : placeTasks(candidate, orders, now);
-    if (isPlaced)
+    if (placed == Placed::All)
         return;
     ++room->second.unplaced;
-    if (candidate.job->spec.queue.advice)
+    if (placed == Placed::NoWorker && candidate.job->spec.queue.advice)
         askAdvice(candidate, orders, now);
 }
 
@@ -304,7 +319,7 @@
 
 } // namespace
 
-bool Dispatcher::placeTasks(const Candidate &candidate, Orders &orders, TimePoint now)
+Dispatcher::Placed Dispatcher::placeTasks(const Candidate &candidate, Orders &orders, TimePoint now)
 {
     StepState &state = candidate.occurrence->steps[candidate.step];
     const Step &step = candidate.job->spec.steps[candidate.step];
@@ -316,21 +331,21 @@
         if (!step.fill && candidate.job->spec.queue.priority > room.topPriority
             && double(room.free.cores.value() - step.each.cores.value())
                     < m_settings.reserveForUrgent * double(room.capacity.cores.value()))
-            return false;
+            return Placed::Reserved;
         Worker *const worker = chooseWorker(candidate, task, now);
         if (!worker)
-            return false;
+            return Placed::NoWorker;
         start(candidate, index, *worker, nextAttempt(task.attempt, m_epoch), orders, now);
     }
-    return true;
+    return Placed::All;
 }
 
-bool Dispatcher::placeGang(const Candidate &candidate, Orders &orders, TimePoint now)
+Dispatcher::Placed Dispatcher::placeGang(const Candidate &candidate, Orders &orders, TimePoint now)
 {
     StepState &state = candidate.occurrence->steps[candidate.step];
     const Step &step = candidate.job->spec.steps[candidate.step];
     if (state.waiting < state.tasks.size())
-        return true; // members of the last run have not ended
+        return Placed::All; // members of the last run have not ended
     const bool needsTicket = candidate.job->spec.queue.advice.has_value();
     struct Place
     {
@@ -344,17 +359,8 @@
             continue;
         if (needsTicket && !findTicket(state, *worker, now))
             continue;
-        const Resources free = freeRoom(*worker);
-        int64_t fits = INT64_MAX;
-        if (step.each.cores.value() > 0)
-            fits = std::min(fits, free.cores.value() / step.each.cores.value());
-        if (step.each.memory.value() > 0)
-            fits = std::min(fits, free.memory.value() / step.each.memory.value());
-        if (step.each.accelerators.value() > 0)
-            fits = std::min(fits, free.accelerators.value() / step.each.accelerators.value());
-        if (step.maxPerWorker > 0)
-            fits = std::min<int64_t>(fits, step.maxPerWorker);
-        places.push_back({worker.get(), fits, score(*worker, candidate, state.tasks[0])});
+        places.push_back({worker.get(), tasksThatFit(freeRoom(*worker), step),
+                          score(*worker, candidate, state.tasks[0])});
     }
     std::sort(places.begin(), places.end(),
               [](const Place &a, const Place &b) { return a.score > b.score; });
@@ -363,7 +369,7 @@
         room += std::min<int64_t>(place.fits, step.count);
     if (room < step.count) {
         reserve(candidate, now);
-        return false;
+        return Placed::NoWorker;
     }
     int64_t last = 0;
     std::string checkpoint;
@@ -380,7 +386,7 @@
         for (int64_t n = 0; n < place.fits && index < step.count; ++n)
             start(candidate, index++, *place.worker, attempt, orders, now);
     }
-    return true;
+    return Placed::All;
 }
 
 // Keeps workers that will have room for the gang first free of less urgent work, for this pass.
@@ -413,70 +419,78 @@
         if (found >= step.count || m_reserved.size() >= most)
             return;
         m_reserved[worker] = candidate.job;
-        const Resources &capacity = worker->entry.capacity;
-        int64_t fits = INT64_MAX;
-        if (step.each.cores.value() > 0)
-            fits = std::min(fits, capacity.cores.value() / step.each.cores.value());
-        if (step.each.accelerators.value() > 0)
-            fits = std::min(fits, capacity.accelerators.value() / step.each.accelerators.value());
-        found += uint32_t(std::clamp<int64_t>(fits, 1, step.count));
+        found += uint32_t(
+                std::clamp<int64_t>(tasksThatFit(worker->entry.capacity, step), 1, step.count));
     }
 }
 
 // Section: advice
 
-void Dispatcher::askAdvice(const Candidate &candidate, Orders &orders, TimePoint now)
+// Workers that advice is to be asked about: those known to be allowed whose tickets have ended, and
+// others, the best first, until enough places can be expected.
+std::vector<WorkerId> Dispatcher::chooseAsked(const Candidate &candidate, TimePoint now)
 {
     StepState &state = candidate.occurrence->steps[candidate.step];
-    if (state.advice.isAsking || now < state.advice.retryAt)
-        return;
     const Step &step = candidate.job->spec.steps[candidate.step];
-    const AdvicePolicy &policy = *candidate.job->spec.queue.advice;
+    const bool isFirst = state.advice.asked.empty();
     struct Choice
     {
-        Worker *worker;
+        const Worker *worker;
         double score;
         bool isAllowed;
         int64_t fits;
     };
     std::vector<Choice> choices;
-    for (auto &[id, worker] : m_workers) {
-        if (!isUsable(*worker, candidate, now) || findTicket(state, *worker, now))
+    int64_t placesNow = 0;
+    for (const auto &[id, worker] : m_workers) {
+        if (!isUsable(*worker, candidate, now) || !step.each.fitsIn(worker->entry.capacity))
             continue;
         const auto asked = state.advice.asked.find(id);
-        if (asked != state.advice.asked.end() && !asked->second)
-            continue;
-        if (!step.each.fitsIn(worker->entry.capacity))
+        const bool isAllowed = asked != state.advice.asked.end() && asked->second;
+        if ((asked != state.advice.asked.end() && !isAllowed) || findTicket(state, *worker, now))
             continue;
-        const bool fitsNow = hasRoom(*worker, step);
-        double value = score(*worker, candidate, state.tasks[0]) - (fitsNow ? 0 : 10);
-        const bool isAllowed = asked != state.advice.asked.end();
-        value += isAllowed ? 5 : 0;
-        const int64_t each = std::max<int64_t>(1, step.each.cores.value());
-        int64_t fits = std::max<int64_t>(1, freeRoom(*worker).cores.value() / each);
-        if (step.maxPerWorker > 0)
-            fits = std::min<int64_t>(fits, step.maxPerWorker);
-        // A refreshed ticket for a worker without room would expire unused.
-        if (isAllowed && !fitsNow)
+        const int64_t fits = hasRoom(*worker, step) ? tasksThatFit(freeRoom(*worker), step) : 0;
+        placesNow += fits;
+        if (fits == 0 && !isFirst && !isAllowed)
             continue;
+        const double value = score(*worker, candidate, state.tasks[0]) + (isAllowed ? 5 : 0)
+                - (fits > 0 ? 0 : 10);
         choices.push_back({worker.get(), value, isAllowed, fits});
     }
-    if (choices.empty())
-        return;
+    // Tickets are for a start at once. The first answer also tells where to wait for room.
+    const int64_t needed = step.gang ? step.count : 1;
+    if (!isFirst && placesNow < needed)
+        return {};
     std::sort(choices.begin(), choices.end(),
               [](const Choice &a, const Choice &b) { return a.score > b.score; });
-    const auto share = m_allowedShare.emplace(candidate.job->spec.queue.name, firstAllowedShare);
-    const double needed = state.waiting * adviceSurplus + 1;
+    const double share = std::max(
+            leastAllowedShare,
+            m_allowedShare.emplace(candidate.job->spec.queue.name, firstAllowedShare).first->second);
+    const double wanted = state.waiting * adviceSurplus + 1;
     double expected = 0;
-    AdviceQuery query;
-    query.step = {candidate.job->spec.id, candidate.occurrence->number, candidate.step, 0};
+    std::vector<WorkerId> workers;
     for (const Choice &choice : choices) {
-        if (expected >= needed || query.workers.size() == maxAdviceWorkers)
+        if (expected >= wanted || workers.size() == maxAdviceWorkers)
             break;
-        query.workers.push_back(choice.worker->entry.id);
-        expected += double(choice.fits)
-                * (choice.isAllowed ? 1.0 : std::max(0.1, share.first->second));
+        workers.push_back(choice.worker->entry.id);
+        expected += double(std::max<int64_t>(choice.fits, step.gang ? 1 : 0))
+                * (choice.isAllowed ? 1.0 : share);
     }
+    return workers;
+}
+
+void Dispatcher::askAdvice(const Candidate &candidate, Orders &orders, TimePoint now)
+{
+    StepState &state = candidate.occurrence->steps[candidate.step];
+    if (state.advice.isAsking || now < state.advice.retryAt)
+        return;
+    AdviceQuery query;
+    query.workers = chooseAsked(candidate, now);
+    if (query.workers.empty())
+        return;
+    const AdvicePolicy &policy = *candidate.job->spec.queue.advice;
+    query.step = {candidate.job->spec.id, candidate.occurrence->number, candidate.step, 0};
+    query.priority = candidate.job->spec.queue.priority;
     query.expected = policy.decision + policy.perWorker * int64_t(query.workers.size());
     state.advice.isAsking = true;
     log::info("advice_asked", {{"step", query.step.stepText()},
@@ -539,7 +553,8 @@
     if (!step)
         return;
     step->advice.isAsking = false;
-    step->advice.retryAt = {};
+    // A step that finds no room with these tickets asks again once most of their time is over.
+    step->advice.retryAt = now + adviceRepeatFactor * query.expected;
     const Duration validity =
             job->spec.queue.advice ? job->spec.queue.advice->validity : Duration::zero();
     size_t news = 0;
--- a/src/jobs/progress.cpp
+++ b/src/jobs/progress.cpp
@@ -238,8 +238,11 @@
                 continue;
             writer.StartObject();
             put(writer, "index", int64_t(index));
-            put(writer, "failures", task.failures);
-            put(writer, "lastFailedAttempt", task.lastFailedAttempt);
+            writer.Key("failedAttempts");
+            writer.StartArray();
+            for (const int64_t attempt : task.failedAttempts)
+                writer.Int64(attempt);
+            writer.EndArray();
             put(writer, "checkpoint", task.checkpoint);
             writer.EndObject();
         }
@@ -274,8 +277,11 @@
             const auto index = size_t(number(other, "index"));
             if (index >= tasks.size())
                 return malformed("progress");
-            tasks[index].failures = number(other, "failures");
-            tasks[index].lastFailedAttempt = number(other, "lastFailedAttempt");
+            const auto attempts = other.FindMember("failedAttempts");
+            if (attempts == other.MemberEnd() || !attempts->value.IsArray())
+                return malformed("progress");
+            for (const Value &attempt : attempts->value.GetArray())
+                tasks[index].failedAttempts.push_back(attempt.IsInt64() ? attempt.GetInt64() : 0);
             tasks[index].checkpoint = text(other, "checkpoint");
         }
         progress.steps.emplace(
--- a/src/jobs/progress.h
+++ b/src/jobs/progress.h
@@ -15,11 +15,10 @@
 struct TaskProgress
 {
     bool isDone = false;
-    int64_t failures = 0;          // runs that ended as failed
-    int64_t lastFailedAttempt = 0; // an end seen twice counts once
-    std::string checkpoint = {};   // newest one; empty: none
+    std::vector<int64_t> failedAttempts = {}; // an end that is seen twice counts once
+    std::string checkpoint = {};              // newest one; empty: none
 
-    bool isEmpty() const { return !isDone && failures == 0 && checkpoint.empty(); }
+    bool isEmpty() const { return !isDone && failedAttempts.empty() && checkpoint.empty(); }
 };
 
 // Occurrence and step to the step's tasks.
--- a/src/jobs/runs.cpp
+++ b/src/jobs/runs.cpp
@@ -169,15 +169,16 @@
     // All members of a gang share one count, kept at its first task.
     TaskProgress &progress = spec.gang ? step.tasks[0].progress : task.progress;
     task.lastFailedOn = worker.entry.id;
-    if (attempt <= progress.lastFailedAttempt)
+    // Ends come in any order: an owner reads those of its predecessor worker by worker.
+    std::vector<int64_t> &failed = progress.failedAttempts;
+    if (spec.lasting || std::find(failed.begin(), failed.end(), attempt) != failed.end())
         return;
-    ++progress.failures;
-    progress.lastFailedAttempt = attempt;
+    failed.push_back(attempt);
     markDirty(job);
-    if (!spec.lasting && progress.failures >= job.spec.queue.maxAttempts) {
+    if (int64_t(failed.size()) >= job.spec.queue.maxAttempts) {
         log::info("job_out_of_attempts", {{"job", job.spec.id.value()},
                                           {"task", address.text()},
-                                          {"failures", progress.failures},
+                                          {"failures", failed.size()},
                                           {"worker", worker.entry.id.value()}});
         finishJob(job, JobState::Failed, now);
     }
@@ -294,8 +295,7 @@
     Job *const job = findJob(address->job);
     Task *const task = job ? findTask(*job, *address) : nullptr;
     const bool isAdopted =
-            task && task->phase == Task::Phase::Waiting && !isFinal(job->state)
-            && running.attempt > task->progress.lastFailedAttempt;
+            task && task->phase == Task::Phase::Waiting && !isFinal(job->state);
     log::info(isAdopted ? "run_adopted" : "run_unexpected", {{"task", running.task},
                                                              {"attempt", running.attempt},
                                                              {"worker", worker.entry.id.value()},
