Play the dispatcher against workers in memory; keep orders to a restarted worker

Cause: the new property test found two runs of one task: the report of a worker's new life made the owner drop starts that this life had already confirmed or was about to carry out. Change: after a restart the lists of the reports decide, as after any other look; a stop is sent anew.

--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -234,6 +234,7 @@
     void wait(Job &job, const TaskAddress &address);
     void endRun(Worker &worker, const EndedTask &end, TimePoint now);
     void loseRuns(Worker &worker, const char *reason, TimePoint now);
+    void noteRestart(Worker &worker, int64_t born);
     void noteDone(Job &job, const TaskAddress &address, TimePoint now);
     void noteFailed(Job &job, const TaskAddress &address, int64_t attempt, Worker &worker,
                     TimePoint now);
--- a/src/jobs/runs.cpp
+++ b/src/jobs/runs.cpp
@@ -249,7 +249,7 @@
                                    {"runs", worker.runs.size()},
                                    {"report_age", now - worker.lastReport}});
     m_figures.lost += worker.runs.size();
-    std::vector<std::pair<std::string, Run>> lost(worker.runs.begin(), worker.runs.end());
+    const std::vector<std::pair<std::string, Run>> lost(worker.runs.begin(), worker.runs.end());
     for (const auto &[task, run] : lost) {
         if (run.job)
             stopGang(*run.job, run.address);
@@ -257,6 +257,19 @@
     }
 }
 
+// The worker has begun a new life. Orders that were on their way may have reached either life, so
+// what is left of the runs is told by this report and the next one.
+void Dispatcher::noteRestart(Worker &worker, int64_t born)
+{
+    log::warn("worker_restarted",
+              {{"worker", worker.entry.id.value()}, {"born", born}, {"runs", worker.runs.size()}});
+    worker.endsProcessed = 0;
+    worker.endsAcknowledged = 0;
+    worker.slowness = 1;
+    for (auto &[task, run] : worker.runs)
+        run.stopAckedAt = {};
+}
+
 // Section: reports
 
 void Dispatcher::noteRunning(Worker &worker, const RunningTask &running, TimePoint now)
@@ -365,12 +378,8 @@
     if (found == m_workers.end())
         return;
     Worker &worker = *found->second;
-    if (worker.born != 0 && report.born != 0 && report.born != worker.born) {
-        loseRuns(worker, "restarted", now);
-        worker.endsProcessed = 0;
-        worker.endsAcknowledged = 0;
-        worker.slowness = 1;
-    }
+    if (worker.born != 0 && report.born != 0 && report.born != worker.born)
+        noteRestart(worker, report.born);
     if (report.born != 0)
         worker.born = report.born;
     if (!worker.isRead) {
--- a/src/jobs/types.h
+++ b/src/jobs/types.h
@@ -28,10 +28,10 @@
 // A queue as the configuration in force describes it.
 struct Queue
 {
-    std::string name;         // key of the queue
-    std::string host;         // of the callers' requests
-    std::string prefix;       // of the callers' paths
-    std::string service;      // whose workers run the tasks
+    std::string name = {};    // key of the queue
+    std::string host = {};    // of the callers' requests
+    std::string prefix = {};  // of the callers' paths
+    std::string service = {}; // whose workers run the tasks
     int64_t priority = 0;     // 0 comes first
     int64_t maxAttempts = 1;  // failed runs of one task after which the job fails
     double stretch = 1;       // the objective is this many times the longest chain of work ...
--- /dev/null
+++ b/tests/jobs/dispatcher_test.cpp
@@ -0,0 +1,227 @@
+// Tests of single decisions of the dispatcher.
+
+#include "jobs/dispatcher.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using namespace cwl;
+using namespace cwl::jobs;
+
+TimePoint at(int64_t ms)
+{
+    return TimePoint(seconds(1000) + milliseconds(ms));
+}
+
+JobSpec makeJob(const std::string &id, uint32_t count, int64_t cores)
+{
+    JobSpec spec;
+    spec.id = JobId(id);
+    spec.queue = {.name = "queue", .service = "service", .maxAttempts = 3, .stretch = 2};
+    Step step;
+    step.count = count;
+    step.each = {Millicores(cores), Mebibytes(100), {}};
+    step.estimate = milliseconds(500);
+    spec.steps = {step};
+    return spec;
+}
+
+class DispatcherTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DispatcherTest);
+    CPPUNIT_TEST(failedAttemptsCountInAnyOrder);
+    CPPUNIT_TEST(unansweredStartHoldsItsRoomUntilItIsStopped);
+    CPPUNIT_TEST(endsAreAcknowledgedOnceStored);
+    CPPUNIT_TEST(completedIsShownOnceStored);
+    CPPUNIT_TEST(restoredJobWaitsForSilentWorkers);
+    CPPUNIT_TEST(drainingWorkerGetsNoStart);
+    CPPUNIT_TEST(gangStartsAsAWhole);
+    CPPUNIT_TEST(stepWithAdviceStartsOnlyWithTicket);
+    CPPUNIT_TEST(cancelledJobStopsItsRuns);
+    CPPUNIT_TEST(stepsFollowOneAnother);
+    CPPUNIT_TEST_SUITE_END();
+
+    Dispatcher m_dispatcher{DispatcherSettings{}};
+
+    void putWorker(const std::string &id, int64_t cores, bool isDraining = false)
+    {
+        WorkerEntry entry;
+        entry.id = WorkerId(id);
+        entry.address = id;
+        entry.service = "service";
+        entry.capacity = {Millicores(cores), Mebibytes(10000), {}};
+        entry.isDraining = isDraining;
+        m_dispatcher.putWorker(entry, at(0));
+    }
+
+    void report(const std::string &id, int64_t ms, const std::vector<RunningTask> &running = {},
+                const std::vector<EndedTask> &ended = {})
+    {
+        WorkerReport news;
+        news.clockMs = ms + 5000;
+        news.born = 1;
+        news.running = running;
+        news.ended = ended;
+        m_dispatcher.onReport(WorkerId(id), news, at(ms - 2), at(ms));
+    }
+
+    Orders decide(int64_t ms) { return m_dispatcher.decide(at(ms), UnixMilliseconds(0)); }
+
+public:
+    void setUp() override
+    {
+        m_dispatcher.begin(Epoch(2), at(8000));
+    }
+
+    // Guards against the fault of hunt-81be-11: the end of attempt 1, read after that of attempt 2,
+    // was not counted, and the task started once too often.
+    void failedAttemptsCountInAnyOrder()
+    {
+        putWorker("a", 1000);
+        putWorker("b", 1000);
+        JobSpec job = makeJob("j", 1, 1000);
+        job.queue.maxAttempts = 2;
+        m_dispatcher.restoreJob(job, std::nullopt, false, at(0), UnixMilliseconds(0));
+        report("a", 10, {}, {{1, "j.0.0.0", 2, EndKind::Failed, ""}});
+        report("b", 11, {}, {{1, "j.0.0.0", 1, EndKind::Failed, ""}});
+        CPPUNIT_ASSERT(decide(12).starts.empty());
+        m_dispatcher.committed(m_dispatcher.collect());
+        CPPUNIT_ASSERT(m_dispatcher.jobState(JobId("j")) == JobState::Failed);
+    }
+
+    // Guards against room that is given away while a late start may still take it.
+    void unansweredStartHoldsItsRoomUntilItIsStopped()
+    {
+        putWorker("a", 1000);
+        report("a", 10);
+        m_dispatcher.addJob(makeJob("j", 1, 1000), at(10));
+        const Orders first = decide(20);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), first.starts.size());
+        m_dispatcher.onStartAnswered(first.starts[0], OrderAnswer::Unknown, at(720));
+        report("a", 730);
+        const Orders second = decide(740);
+        CPPUNIT_ASSERT(second.starts.empty());
+        CPPUNIT_ASSERT_EQUAL(size_t(1), second.stops.size());
+        m_dispatcher.onStopAnswered(second.stops[0], OrderAnswer::Accepted, at(745));
+        report("a", 746); // asked for before the answer of the stop
+        CPPUNIT_ASSERT(decide(747).starts.empty());
+        report("a", 760);
+        const Orders third = decide(770);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), third.starts.size());
+        CPPUNIT_ASSERT(third.starts[0].attempt > first.starts[0].attempt);
+    }
+
+    // Guards against ends that a worker forgets before what they mean is stored.
+    void endsAreAcknowledgedOnceStored()
+    {
+        putWorker("a", 1000);
+        report("a", 10);
+        m_dispatcher.addJob(makeJob("j", 1, 1000), at(10));
+        const Orders orders = decide(20);
+        report("a", 500, {}, {{1, "j.0.0.0", orders.starts[0].attempt, EndKind::Done, ""}});
+        CPPUNIT_ASSERT_EQUAL(int64_t(0), m_dispatcher.watchOrder(WorkerId("a"), at(501)).acknowledged);
+        m_dispatcher.committed(m_dispatcher.collect());
+        CPPUNIT_ASSERT_EQUAL(int64_t(1), m_dispatcher.watchOrder(WorkerId("a"), at(502)).acknowledged);
+    }
+
+    void completedIsShownOnceStored()
+    {
+        putWorker("a", 1000);
+        report("a", 10);
+        m_dispatcher.addJob(makeJob("j", 1, 1000), at(10));
+        const Orders orders = decide(20);
+        report("a", 500, {}, {{1, "j.0.0.0", orders.starts[0].attempt, EndKind::Done, ""}});
+        CPPUNIT_ASSERT(m_dispatcher.jobState(JobId("j")) == JobState::Running);
+        m_dispatcher.committed(m_dispatcher.collect());
+        CPPUNIT_ASSERT(m_dispatcher.jobState(JobId("j")) == JobState::Completed);
+    }
+
+    // Guards against a second run of a task that an earlier owner started on a worker that is cut
+    // off now.
+    void restoredJobWaitsForSilentWorkers()
+    {
+        putWorker("a", 1000);
+        putWorker("b", 1000);
+        m_dispatcher.restoreJob(makeJob("j", 1, 1000), std::nullopt, false, at(0),
+                                UnixMilliseconds(0));
+        report("a", 10);
+        CPPUNIT_ASSERT(decide(20).starts.empty());
+        report("a", 7990);
+        CPPUNIT_ASSERT(decide(7995).starts.empty());
+        report("a", 8010); // the bound on the earlier owner has passed
+        CPPUNIT_ASSERT_EQUAL(size_t(1), decide(8020).starts.size());
+    }
+
+    void drainingWorkerGetsNoStart()
+    {
+        putWorker("a", 1000, true);
+        report("a", 10);
+        m_dispatcher.addJob(makeJob("j", 1, 1000), at(10));
+        CPPUNIT_ASSERT(decide(20).starts.empty());
+    }
+
+    // Guards against members that wait alone for others without room.
+    void gangStartsAsAWhole()
+    {
+        putWorker("a", 1000);
+        report("a", 10);
+        JobSpec job = makeJob("j", 2, 1000);
+        job.steps[0].gang = true;
+        m_dispatcher.addJob(job, at(10));
+        CPPUNIT_ASSERT(decide(20).starts.empty());
+        putWorker("b", 1000);
+        report("b", 30);
+        const Orders orders = decide(40);
+        CPPUNIT_ASSERT_EQUAL(size_t(2), orders.starts.size());
+        CPPUNIT_ASSERT_EQUAL(orders.starts[0].attempt, orders.starts[1].attempt);
+    }
+
+    void stepWithAdviceStartsOnlyWithTicket()
+    {
+        putWorker("a", 1000);
+        report("a", 10);
+        JobSpec job = makeJob("j", 1, 1000);
+        job.queue.advice = AdvicePolicy{milliseconds(13), milliseconds(1), seconds(2)};
+        m_dispatcher.addJob(job, at(10));
+        const Orders asked = decide(20);
+        CPPUNIT_ASSERT(asked.starts.empty());
+        CPPUNIT_ASSERT_EQUAL(size_t(1), asked.queries.size());
+        m_dispatcher.onAdvice(asked.queries[0], {{WorkerId("a"), "ticket"}}, at(40));
+        const Orders started = decide(50);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), started.starts.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("ticket"), started.starts[0].ticket);
+    }
+
+    void cancelledJobStopsItsRuns()
+    {
+        putWorker("a", 1000);
+        report("a", 10);
+        m_dispatcher.addJob(makeJob("j", 1, 1000), at(10));
+        const Orders started = decide(20);
+        m_dispatcher.onStartAnswered(started.starts[0], OrderAnswer::Accepted, at(25));
+        m_dispatcher.cancelJob(JobId("j"), at(30));
+        CPPUNIT_ASSERT_EQUAL(size_t(1), decide(40).stops.size());
+    }
+
+    void stepsFollowOneAnother()
+    {
+        putWorker("a", 4000);
+        report("a", 10);
+        JobSpec job = makeJob("j", 2, 1000);
+        job.steps.push_back(job.steps[0]);
+        job.steps[1].after = {0};
+        m_dispatcher.addJob(job, at(10));
+        const Orders first = decide(20);
+        CPPUNIT_ASSERT_EQUAL(size_t(2), first.starts.size());
+        report("a", 500, {}, {{1, "j.0.0.0", first.starts[0].attempt, EndKind::Done, ""}});
+        CPPUNIT_ASSERT(decide(510).starts.empty());
+        report("a", 600, {}, {{1, "j.0.0.0", first.starts[0].attempt, EndKind::Done, ""},
+                              {2, "j.0.0.1", first.starts[1].attempt, EndKind::Done, ""}});
+        CPPUNIT_ASSERT_EQUAL(size_t(2), decide(610).starts.size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherTest);
+
+} // namespace
--- /dev/null
+++ b/tests/jobs/property_test.cpp
@@ -0,0 +1,69 @@
+// Properties of the dispatcher under faults, played by seeds.
+
+#include "jobs/simulation.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstdlib>
+
+namespace {
+
+using namespace cwl;
+using namespace cwl::jobs;
+
+constexpr uint64_t seedsPerCase = 60;
+
+uint64_t firstSeed()
+{
+    const char *const given = std::getenv("CWL_SEED");
+    return given ? std::strtoull(given, nullptr, 10) : 20261204;
+}
+
+class DispatcherPropertyTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DispatcherPropertyTest);
+    CPPUNIT_TEST(lostAndLateOrders);
+    CPPUNIT_TEST(workersRestartAndFallSilent);
+    CPPUNIT_TEST(ownersChange);
+    CPPUNIT_TEST(everythingTogether);
+    CPPUNIT_TEST_SUITE_END();
+
+    static void check(simulation::Options options)
+    {
+        for (uint64_t seed = firstSeed(); seed < firstSeed() + seedsPerCase; ++seed) {
+            options.seed = seed;
+            const simulation::Verdict verdict = simulation::play(options);
+            CPPUNIT_ASSERT_MESSAGE(
+                    absl::StrCat("seed ", seed, ": ", absl::StrJoin(verdict.broken, "; ")),
+                    verdict.broken.empty());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(absl::StrCat("jobs left open, seed ", seed), size_t(0),
+                                         verdict.open);
+        }
+    }
+
+public:
+    // Guards against a second run while the first order may still be carried out.
+    void lostAndLateOrders() { check({.lostAnswers = 0.15, .lateOrders = 0.1}); }
+
+    // Guards against runs that are taken for ended while their worker is only unreachable.
+    void workersRestartAndFallSilent() { check({.restarts = 0.05, .cuts = 0.05}); }
+
+    // Guards against a new owner that forgets what its predecessor has started or counted.
+    void ownersChange() { check({.failures = 0.3, .ownerChanges = 0.5}); }
+
+    void everythingTogether()
+    {
+        check({.lostAnswers = 0.1,
+               .lateOrders = 0.05,
+               .failures = 0.15,
+               .restarts = 0.03,
+               .cuts = 0.03,
+               .ownerChanges = 0.2});
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherPropertyTest);
+
+} // namespace
--- /dev/null
+++ b/tests/jobs/simulation.cpp
@@ -0,0 +1,430 @@
+#include "jobs/simulation.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <memory>
+
+namespace cwl::jobs::simulation {
+
+namespace {
+
+constexpr Duration step = milliseconds(5);
+constexpr Duration stopTime = milliseconds(300);
+constexpr Duration lookInterval = milliseconds(60);
+
+TimePoint at(Duration time)
+{
+    return TimePoint(seconds(1000) + time);
+}
+
+// One run as the worker carries it out.
+struct WorkerRun
+{
+    int64_t attempt = 0;
+    Resources room;
+    TimePoint begins;
+    TimePoint ends;
+    bool fails = false;
+    bool isStopping = false;
+};
+
+struct SimulatedWorker
+{
+    WorkerId id;
+    Resources capacity;
+    int64_t born = 1;
+    Epoch token;
+    TimePoint leaseEnds;
+    std::map<std::string, WorkerRun> running;
+    std::deque<EndedTask> ended;
+    std::map<std::string, int64_t> endedAttempts; // highest one stopped or ended here
+    int64_t lastEnd = 0;
+    int64_t acknowledged = 0;
+    TimePoint cutUntil;
+
+    int64_t clock(TimePoint now) const
+    {
+        return std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count() - born * 17;
+    }
+};
+
+class World
+{
+public:
+    explicit World(const Options &options)
+        : m_options(options)
+        , m_random(options.seed)
+    {
+    }
+
+    Verdict run();
+
+private:
+    using Action = std::function<void()>;
+
+    bool chance(double share)
+    {
+        return std::uniform_real_distribution<double>(0, 1)(m_random) < share;
+    }
+    int64_t number(int64_t least, int64_t most)
+    {
+        return std::uniform_int_distribution<int64_t>(least, most)(m_random);
+    }
+    void later(Duration delay, Action action) { m_actions.emplace(m_now + delay, std::move(action)); }
+
+    void addWorkers();
+    void addJobs();
+    JobSpec makeJob(int number);
+    void changeOwner();
+    void inject();
+    void advanceWorkers();
+    void end(SimulatedWorker &worker, const std::string &task, EndKind kind);
+    void look(const std::shared_ptr<Dispatcher> &owner, Epoch epoch, const WorkerId &id);
+    void carryOut(const std::shared_ptr<Dispatcher> &owner, Epoch epoch, const Orders &orders);
+    void sendStart(const std::shared_ptr<Dispatcher> &owner, Epoch epoch, const StartOrder &order);
+    void sendStop(const std::shared_ptr<Dispatcher> &owner, Epoch epoch, const StopOrder &order);
+    OrderAnswer start(SimulatedWorker &worker, Epoch epoch, const StartOrder &order);
+    OrderAnswer stop(SimulatedWorker &worker, Epoch epoch, const StopOrder &order);
+    void store();
+    void checkStart(const SimulatedWorker &worker, const StartOrder &order);
+    void breakRule(const std::string &text) { m_verdict.broken.push_back(text); }
+    bool isSilent(const SimulatedWorker &worker) const { return m_now < worker.cutUntil; }
+
+    const Options m_options;
+    std::mt19937_64 m_random;
+    TimePoint m_now = at({});
+    std::multimap<TimePoint, Action> m_actions;
+    std::map<std::string, SimulatedWorker> m_workers;
+    std::map<std::string, JobSpec> m_jobs;         // accepted, as in the store
+    std::map<std::string, Progress> m_stored;      // progress in the store
+    std::set<std::string> m_doneForGood;           // tasks whose end as done was acknowledged
+    std::map<std::string, std::set<int64_t>> m_failedRuns; // ends as failed that were acknowledged
+    std::shared_ptr<Dispatcher> m_owner;
+    Epoch m_epoch;
+    Verdict m_verdict;
+};
+
+void World::addWorkers()
+{
+    for (int index = 0; index < m_options.workers; ++index) {
+        SimulatedWorker worker;
+        worker.id = WorkerId(absl::StrCat("w", index));
+        worker.capacity = {Millicores(8000), Mebibytes(16000), Accelerators(0)};
+        m_workers.emplace(worker.id.value(), std::move(worker));
+    }
+}
+
+JobSpec World::makeJob(int index)
+{
+    JobSpec spec;
+    spec.id = JobId(absl::StrCat("job", index));
+    spec.queue.name = index % 3 == 0 ? "urgent" : "bulk";
+    spec.queue.service = "service";
+    spec.queue.priority = index % 3 == 0 ? 0 : 2;
+    spec.queue.maxAttempts = 4;
+    spec.queue.stretch = 2;
+    const auto steps = int(number(1, 3));
+    for (int stepNumber = 0; stepNumber < steps; ++stepNumber) {
+        Step stepSpec;
+        stepSpec.count = uint32_t(number(1, 5));
+        stepSpec.each = {Millicores(number(500, 3000)), Mebibytes(number(100, 3000)), {}};
+        stepSpec.estimate = milliseconds(number(100, 900));
+        stepSpec.gang = index % 5 == 0 && stepNumber == 0;
+        stepSpec.checkpoints = index % 2 == 0;
+        if (stepNumber > 0)
+            stepSpec.after = {uint32_t(stepNumber - 1)};
+        spec.steps.push_back(stepSpec);
+    }
+    return spec;
+}
+
+void World::addJobs()
+{
+    for (int index = 0; index < m_options.jobs; ++index) {
+        const JobSpec spec = makeJob(index);
+        later(milliseconds(number(0, 15000)), [this, spec] {
+            m_jobs.emplace(spec.id.value(), spec);
+            m_owner->addJob(spec, m_now);
+        });
+    }
+}
+
+void World::changeOwner()
+{
+    m_epoch += Epoch(1);
+    m_owner = std::make_shared<Dispatcher>(DispatcherSettings{.lease = milliseconds(3000)});
+    m_owner->begin(m_epoch, m_now + seconds(4));
+    for (const auto &[id, spec] : m_jobs) {
+        const auto progress = m_stored.find(id);
+        m_owner->restoreJob(spec,
+                            progress == m_stored.end() ? std::optional<Progress>()
+                                                       : progress->second,
+                            false, m_now, UnixMilliseconds(0));
+    }
+    for (const auto &[id, worker] : m_workers) {
+        WorkerEntry entry;
+        entry.id = worker.id;
+        entry.address = id;
+        entry.service = "service";
+        entry.capacity = worker.capacity;
+        m_owner->putWorker(entry, m_now);
+        look(m_owner, m_epoch, worker.id);
+    }
+}
+
+// Section: workers
+
+void World::end(SimulatedWorker &worker, const std::string &task, EndKind kind)
+{
+    const WorkerRun run = worker.running.at(task);
+    worker.running.erase(task);
+    worker.endedAttempts[task] = std::max(worker.endedAttempts[task], run.attempt);
+    worker.ended.push_back({++worker.lastEnd, task, run.attempt, kind, ""});
+}
+
+void World::advanceWorkers()
+{
+    for (auto &[id, worker] : m_workers) {
+        std::vector<std::pair<std::string, EndKind>> ends;
+        for (auto &[task, run] : worker.running) {
+            if (m_now >= worker.leaseEnds)
+                ends.emplace_back(task, EndKind::Lapsed);
+            else if (m_now >= run.ends)
+                ends.emplace_back(task, run.isStopping ? EndKind::Stopped
+                                          : run.fails  ? EndKind::Failed
+                                                       : EndKind::Done);
+        }
+        for (const auto &[task, kind] : ends)
+            end(worker, task, kind);
+    }
+}
+
+void World::checkStart(const SimulatedWorker &worker, const StartOrder &order)
+{
+    const TaskAddress address = *TaskAddress::parse(order.task);
+    Resources used = m_jobs.at(address.job.value()).steps[address.step].each;
+    for (const auto &[task, run] : worker.running)
+        used = used + run.room;
+    if (!used.fitsIn(worker.capacity))
+        breakRule(absl::StrCat("over capacity: ", order.task, " on ", worker.id.value()));
+    for (const auto &[id, other] : m_workers) {
+        if (other.running.contains(order.task))
+            breakRule(absl::StrCat("two runs at once: ", order.task));
+    }
+    if (m_doneForGood.contains(order.task))
+        breakRule(absl::StrCat("started after it was done: ", order.task));
+    if (m_failedRuns[order.task].size() >= size_t(m_jobs.at(address.job.value()).queue.maxAttempts))
+        breakRule(absl::StrCat("started after its last attempt: ", order.task));
+}
+
+OrderAnswer World::start(SimulatedWorker &worker, Epoch epoch, const StartOrder &order)
+{
+    if (epoch < worker.token)
+        return OrderAnswer::Fenced;
+    worker.token = epoch;
+    const TimePoint lease = m_now + milliseconds(order.leaseUntilMs - worker.clock(m_now));
+    if (lease <= m_now)
+        return OrderAnswer::Late;
+    worker.leaseEnds = std::max(worker.leaseEnds, lease);
+    const auto running = worker.running.find(order.task);
+    if (running != worker.running.end() && running->second.attempt == order.attempt)
+        return OrderAnswer::Accepted;
+    if (worker.endedAttempts[order.task] >= order.attempt)
+        return OrderAnswer::Superseded;
+    checkStart(worker, order);
+    const TaskAddress address = *TaskAddress::parse(order.task);
+    const Step &spec = m_jobs.at(address.job.value()).steps[address.step];
+    WorkerRun run;
+    run.attempt = order.attempt;
+    run.room = spec.each;
+    run.begins = m_now;
+    run.ends = m_now + spec.estimate * number(60, 160) / 100;
+    run.fails = !spec.gang && chance(m_options.failures);
+    worker.running[order.task] = run;
+    return OrderAnswer::Accepted;
+}
+
+OrderAnswer World::stop(SimulatedWorker &worker, Epoch epoch, const StopOrder &order)
+{
+    if (epoch < worker.token)
+        return OrderAnswer::Fenced;
+    worker.token = epoch;
+    worker.endedAttempts[order.task] =
+            std::max(worker.endedAttempts[order.task], order.attempt);
+    const auto run = worker.running.find(order.task);
+    if (run != worker.running.end() && run->second.attempt <= order.attempt) {
+        run->second.isStopping = true;
+        run->second.ends = std::min(run->second.ends, m_now + stopTime);
+    }
+    return OrderAnswer::Accepted;
+}
+
+// Section: the owner's calls
+
+void World::look(const std::shared_ptr<Dispatcher> &owner, Epoch epoch, const WorkerId &id)
+{
+    if (owner != m_owner)
+        return;
+    const TimePoint sentAt = m_now;
+    const WatchOrder order = owner->watchOrder(id, m_now);
+    later(milliseconds(number(1, 4)), [this, owner, epoch, id, order, sentAt] {
+        SimulatedWorker &worker = m_workers.at(id.value());
+        const auto again = [this, owner, epoch, id] { look(owner, epoch, id); };
+        if (isSilent(worker) || owner != m_owner) {
+            later(milliseconds(400), again);
+            return;
+        }
+        if (epoch < worker.token)
+            return;
+        worker.token = epoch;
+        while (!worker.ended.empty() && worker.ended.front().number <= order.acknowledged)
+            worker.ended.pop_front();
+        if (order.leaseUntilMs)
+            worker.leaseEnds = std::max(
+                    worker.leaseEnds,
+                    m_now + milliseconds(*order.leaseUntilMs - worker.clock(m_now)));
+        WorkerReport report;
+        report.clockMs = worker.clock(m_now);
+        report.born = worker.born;
+        for (const auto &[task, run] : worker.running) {
+            const Duration length = std::max<Duration>(milliseconds(1), run.ends - run.begins);
+            report.running.push_back({task, run.attempt, "", (m_now - run.begins) * 100 / length});
+        }
+        report.ended.assign(worker.ended.begin(), worker.ended.end());
+        later(milliseconds(number(1, 4)), [this, owner, id, report, sentAt, again] {
+            if (owner == m_owner)
+                owner->onReport(id, report, sentAt, m_now);
+            later(lookInterval, again);
+        });
+    });
+}
+
+void World::sendStart(const std::shared_ptr<Dispatcher> &owner, Epoch epoch,
+                      const StartOrder &order)
+{
+    const bool isLate = m_now < at(m_options.faultsEnd) && chance(m_options.lateOrders);
+    const bool isLost = m_now < at(m_options.faultsEnd) && chance(m_options.lostAnswers);
+    const Duration delay = isLate ? milliseconds(number(2000, 12000)) : milliseconds(number(1, 4));
+    const int64_t life = m_workers.at(order.worker.value()).born;
+    const auto answered = std::make_shared<bool>(false);
+    const auto answer = [this, owner, order, answered](OrderAnswer result) {
+        if (!std::exchange(*answered, true) && owner == m_owner)
+            owner->onStartAnswered(order, result, m_now);
+    };
+    later(delay, [this, epoch, order, life, isLate, isLost, answer] {
+        SimulatedWorker &worker = m_workers.at(order.worker.value());
+        if (isSilent(worker) || worker.born != life)
+            return;
+        const OrderAnswer result = start(worker, epoch, order);
+        if (!isLate && !isLost)
+            later(milliseconds(number(1, 4)), [answer, result] { answer(result); });
+    });
+    later(orderTimeout, [answer] { answer(OrderAnswer::Unknown); });
+}
+
+void World::sendStop(const std::shared_ptr<Dispatcher> &owner, Epoch epoch, const StopOrder &order)
+{
+    const bool isLost = m_now < at(m_options.faultsEnd) && chance(m_options.lostAnswers);
+    const auto answered = std::make_shared<bool>(false);
+    later(milliseconds(number(1, 4)), [this, owner, epoch, order, isLost, answered] {
+        SimulatedWorker &worker = m_workers.at(order.worker.value());
+        if (isSilent(worker))
+            return;
+        const OrderAnswer result = stop(worker, epoch, order);
+        if (isLost)
+            return;
+        later(milliseconds(number(1, 4)), [this, owner, order, answered, result] {
+            if (!std::exchange(*answered, true) && owner == m_owner)
+                owner->onStopAnswered(order, result, m_now);
+        });
+    });
+}
+
+void World::carryOut(const std::shared_ptr<Dispatcher> &owner, Epoch epoch, const Orders &orders)
+{
+    for (const StartOrder &order : orders.starts)
+        sendStart(owner, epoch, order);
+    for (const StopOrder &order : orders.stops)
+        sendStop(owner, epoch, order);
+}
+
+void World::store()
+{
+    if (!m_owner->hasUnstored())
+        return;
+    const Batch batch = m_owner->collect();
+    for (const Batch::JobRow &row : batch.rows)
+        m_stored[row.id.value()] = *decodeProgress(row.progress);
+    for (const Batch::WorkerEnds &ends : batch.ends) {
+        const SimulatedWorker &worker = m_workers.at(ends.worker.value());
+        if (worker.born != ends.born)
+            continue;
+        for (const EndedTask &ended : worker.ended) {
+            if (ended.number > ends.processed)
+                break;
+            if (ended.kind == EndKind::Done)
+                m_doneForGood.insert(ended.task);
+            if (ended.kind == EndKind::Failed)
+                m_failedRuns[ended.task].insert(ended.attempt);
+        }
+    }
+    m_owner->committed(batch);
+}
+
+// Section: faults and the run
+
+void World::inject()
+{
+    const double share = std::chrono::duration<double>(step).count();
+    for (auto &[id, worker] : m_workers) {
+        if (chance(m_options.restarts * share)) {
+            worker.running.clear();
+            worker.ended.clear();
+            worker.endedAttempts.clear();
+            worker.lastEnd = 0;
+            worker.token = Epoch();
+            ++worker.born;
+        }
+        if (chance(m_options.cuts * share))
+            worker.cutUntil = m_now + milliseconds(number(500, 8000));
+    }
+    if (chance(m_options.ownerChanges * share))
+        changeOwner();
+}
+
+Verdict World::run()
+{
+    addWorkers();
+    changeOwner();
+    addJobs();
+    while (m_now < at(m_options.end)) {
+        m_now += step;
+        if (m_now < at(m_options.faultsEnd))
+            inject();
+        while (!m_actions.empty() && m_actions.begin()->first <= m_now) {
+            const Action action = std::move(m_actions.begin()->second);
+            m_actions.erase(m_actions.begin());
+            action();
+        }
+        advanceWorkers();
+        carryOut(m_owner, m_epoch, m_owner->decide(m_now, UnixMilliseconds(0)));
+        store();
+    }
+    for (const auto &[id, spec] : m_jobs) {
+        const std::optional<JobState> state = m_owner->jobState(JobId(id));
+        m_verdict.completed += state == JobState::Completed;
+        m_verdict.failed += state == JobState::Failed;
+        m_verdict.open += !state || !isFinal(*state);
+    }
+    return m_verdict;
+}
+
+} // namespace
+
+Verdict play(const Options &options)
+{
+    return World(options).run();
+}
+
+} // namespace cwl::jobs::simulation
