Renew no lease by looks without an answer; serve advice questions after a pause

Each look at a crashed worker put off the end of its lease, so that its tasks never started elsewhere; and a question for advice could wait for ever when all callers paused.

--- a/src/cell/advicerouter.h
+++ b/src/cell/advicerouter.h
@@ -40,6 +40,10 @@
     // Error: QueueFull when no caller was free in time; those of the call otherwise.
     void ask(const jobs::AdviceQuery &query, AdviceService::Callback callback);
 
+    // Gives waiting questions to callers that are free again, and up on those that waited too long.
+    // Called from time to time, since a caller's pause ends without any news.
+    void serve();
+
 private:
     struct Caller
     {
@@ -56,7 +60,6 @@
         AdviceService::Callback callback;
     };
 
-    void serve();
     std::shared_ptr<Caller> freeCaller(bool isLong, TimePoint now) const;
     void send(const std::shared_ptr<Caller> &caller, Question question);
     void onAnswer(const std::shared_ptr<Caller> &caller, bool isLong,
--- a/src/cell/owner.cpp
+++ b/src/cell/owner.cpp
@@ -484,6 +484,7 @@
     const jobs::Orders orders = m_dispatcher.decide(now, UnixMilliseconds::now());
     m_decideTime.observe(BootClock::now() - now);
     carryOut(orders);
+    m_advice.serve();
     store();
     if (now >= m_nextExpiry)
         expire();
@@ -689,6 +690,7 @@
     if (!worker)
         return;
     if (result.answer != jobs::OrderAnswer::Accepted) {
+        m_dispatcher.onLookFailed(entry->id);
         if (!std::exchange(entry->isUnreachable, true))
             log::info("worker_unreachable", {{"worker", entry->id.value()},
                                              {"answer", orderAnswerName(result.answer)},
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -132,7 +132,8 @@
     Worker &worker = *m_workers.at(id.value());
     WatchOrder order;
     order.acknowledged = worker.endsAcknowledged;
-    if (worker.isRead)
+    // A renewal without an answer may still count, so it would put off the end of the lease.
+    if (worker.isRead && !worker.isUnanswered)
         order.leaseUntilMs = leaseDeadline(worker, now);
     return order;
 }
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -166,8 +166,8 @@
 
     // Section: news. Reports of one worker come in the order in which they were asked for.
 
-    // Returns false if a newer owner has fenced the worker.
     void onReport(const WorkerId &id, const WorkerReport &report, TimePoint sentAt, TimePoint now);
+    void onLookFailed(const WorkerId &id); // later looks renew nothing until one is answered
     void onStartAnswered(const StartOrder &order, OrderAnswer answer, TimePoint now);
     void onStopAnswered(const StopOrder &order, OrderAnswer answer, TimePoint now);
     void onAdvice(const AdviceQuery &query, const std::vector<AllowedWorker> &allowed,
--- a/src/jobs/runs.cpp
+++ b/src/jobs/runs.cpp
@@ -386,6 +386,7 @@
         worker.isRead = true;
         log::debug("worker_read", {{"worker", id.value()}, {"running", report.running.size()}});
     }
+    worker.isUnanswered = false;
     worker.clockMs = report.clockMs;
     worker.clockAt = now;
     worker.lastReport = now;
@@ -405,6 +406,13 @@
 
 // Section: answers
 
+void Dispatcher::onLookFailed(const WorkerId &id)
+{
+    const auto worker = m_workers.find(id.value());
+    if (worker != m_workers.end())
+        worker->second->isUnanswered = true;
+}
+
 void Dispatcher::onStartAnswered(const StartOrder &order, OrderAnswer answer, TimePoint now)
 {
     const auto found = m_workers.find(order.worker.value());
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -117,6 +117,7 @@
     bool isRead = false;         // it has reported to this owner
     Resources used = {};
     Millicores fillUsed = {};
+    bool isUnanswered = false;   // the last look at it failed
     int64_t born = 0;            // of the life that reported last
     int64_t clockMs = 0;         // its clock ...
     TimePoint clockAt = {};      // ... no later than at this instant
--- a/tests/jobs/dispatcher_test.cpp
+++ b/tests/jobs/dispatcher_test.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(endsAreAcknowledgedOnceStored);
     CPPUNIT_TEST(completedIsShownOnceStored);
     CPPUNIT_TEST(restoredJobWaitsForSilentWorkers);
+    CPPUNIT_TEST(looksWithoutAnswerRenewNothing);
     CPPUNIT_TEST(drainingWorkerGetsNoStart);
     CPPUNIT_TEST(gangStartsAsAWhole);
     CPPUNIT_TEST(stepWithAdviceStartsOnlyWithTicket);
@@ -153,6 +154,26 @@
         CPPUNIT_ASSERT_EQUAL(size_t(1), decide(8020).starts.size());
     }
 
+    // Guards against the fault of ycwat-ledge mix 302418633294: each look at a crashed worker
+    // counted as a renewal of its lease, so that its tasks never started elsewhere.
+    void looksWithoutAnswerRenewNothing()
+    {
+        putWorker("a", 1000);
+        putWorker("b", 1000);
+        report("a", 10);
+        m_dispatcher.addJob(makeJob("j", 1, 1000), at(10));
+        const Orders first = decide(20);
+        m_dispatcher.onStartAnswered(first.starts[0], OrderAnswer::Accepted, at(25));
+        for (int64_t ms = 100; ms < 8000; ms += 500) {
+            report("b", ms);
+            m_dispatcher.watchOrder(WorkerId("a"), at(ms));
+            m_dispatcher.onLookFailed(WorkerId("a"));
+        }
+        const Orders second = decide(8010);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), second.starts.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), second.starts[0].worker.value());
+    }
+
     void drainingWorkerGetsNoStart()
     {
         putWorker("a", 1000, true);
--- a/tests/jobs/simulation.cpp
+++ b/tests/jobs/simulation.cpp
@@ -272,6 +272,8 @@
         SimulatedWorker &worker = m_workers.at(id.value());
         const auto again = [this, owner, epoch, id] { look(owner, epoch, id); };
         if (isSilent(worker) || owner != m_owner) {
+            if (owner == m_owner)
+                owner->onLookFailed(id);
             later(milliseconds(400), again);
             return;
         }
