Preempt saved runs for the most urgent queues; keep no room for gangs that cannot fit

Cause looked for: late draws while room is taken by less urgent work whose progress is saved. Kept: preemption for priority 0 only.

--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -192,6 +192,7 @@
         uint64_t ended = 0;
         uint64_t lost = 0;      // runs whose worker fell silent
         uint64_t stalled = 0;
+        uint64_t preempted = 0;
         uint64_t refused = 0;   // starts
         uint64_t unanswered = 0;
     };
@@ -260,6 +261,9 @@
     void reserve(const Candidate &candidate, TimePoint now);
     void start(const Candidate &candidate, uint32_t index, Worker &worker, int64_t attempt,
                Orders &orders, TimePoint now);
+    std::vector<Run *> victimsOn(Worker &worker, const Candidate &candidate, TimePoint now);
+    void preempt(const Candidate &candidate, TimePoint now);
+    int64_t allowedPlaces(const Candidate &candidate, TimePoint now) const;
     std::vector<WorkerId> chooseAsked(const Candidate &candidate, TimePoint now);
     void askAdvice(const Candidate &candidate, Orders &orders, TimePoint now);
     void askEarly(Job &job, Orders &orders, TimePoint now);
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -26,6 +26,9 @@
 constexpr int adviceRepeatFactor = 3;      // pause between questions, against the time of one
 constexpr Duration adviceRetryPause = milliseconds(100);
 constexpr Duration adviceEarly = milliseconds(60); // before the step is expected to be ready
+constexpr Duration leastRunBeforePreemption = milliseconds(400); // a run that just began is left
+constexpr int64_t mostUrgentPriority = 0; // of a queue; others wait for room
+constexpr size_t maxPreemptionsPerStep = 16;                      // in one pass
 constexpr Duration drainMargin = milliseconds(1300); // a stop takes up to 0.9 s
 
 // A tail above `paceDownAt` of its target slows what fills beside it; below `paceUpAt` it speeds
@@ -169,10 +172,97 @@
     if (placed == Placed::All)
         return;
     ++room->second.unplaced;
-    if (placed == Placed::NoWorker && candidate.job->spec.queue.advice)
+    if (placed == Placed::Reserved)
+        return;
+    preempt(candidate, now);
+    if (candidate.job->spec.queue.advice)
         askAdvice(candidate, orders, now);
 }
 
+// Section: preemption
+
+namespace {
+
+// Room that is free now or once the runs that are being stopped have ended.
+Resources comingRoom(const Worker &worker)
+{
+    Resources room = freeRoom(worker);
+    for (const auto &[task, run] : worker.runs) {
+        if (run.phase == RunPhase::Stopping)
+            room = room + run.room;
+    }
+    return room;
+}
+
+} // namespace
+
+// Runs of less urgent queues whose progress is saved, the largest first.
+std::vector<Run *> Dispatcher::victimsOn(Worker &worker, const Candidate &candidate, TimePoint now)
+{
+    std::vector<Run *> victims;
+    for (auto &[task, run] : worker.runs) {
+        if (!run.job || run.phase != RunPhase::Running || isFinal(run.job->state)
+            || run.job->spec.queue.priority <= candidate.job->spec.queue.priority
+            || now - run.confirmedAt < leastRunBeforePreemption)
+            continue;
+        const Step &spec = stepSpec(*run.job, run.address);
+        if (spec.checkpoints && !spec.lasting && !spec.gang && !spec.fill)
+            victims.push_back(&run);
+    }
+    std::sort(victims.begin(), victims.end(),
+              [](const Run *a, const Run *b) { return a->room.cores > b->room.cores; });
+    return victims;
+}
+
+// Stops less urgent runs where that makes room for the tasks of the candidate.
+void Dispatcher::preempt(const Candidate &candidate, TimePoint now)
+{
+    const Step &step = candidate.job->spec.steps[candidate.step];
+    const StepState &state = candidate.occurrence->steps[candidate.step];
+    if (step.fill || now > candidate.job->hopeless
+        || candidate.job->spec.queue.priority != mostUrgentPriority)
+        return;
+    const bool needsAdvice = candidate.job->spec.queue.advice.has_value();
+    std::vector<Worker *> workers;
+    int64_t places = 0;
+    for (auto &[id, worker] : m_workers) {
+        if (!isUsable(*worker, candidate, now)
+            || (needsAdvice && !state.advice.allowed.contains(id)))
+            continue;
+        workers.push_back(worker.get());
+        places += tasksThatFit(comingRoom(*worker), step);
+    }
+    const int64_t needed = state.waiting;
+    size_t stopped = 0;
+    for (Worker *worker : workers) {
+        Resources room = comingRoom(*worker);
+        int64_t fits = tasksThatFit(room, step);
+        std::vector<Run *> chosen;
+        for (Run *victim : victimsOn(*worker, candidate, now)) {
+            if (places >= needed || stopped + chosen.size() >= maxPreemptionsPerStep)
+                break;
+            room = room + victim->room;
+            chosen.push_back(victim);
+            const int64_t fitsThen = tasksThatFit(room, step);
+            if (fitsThen <= fits)
+                continue;
+            for (Run *run : chosen) {
+                run->phase = RunPhase::Stopping;
+                log::info("run_preempted", {{"task", run->address.text()},
+                                            {"worker", worker->entry.id.value()},
+                                            {"for", candidate.job->spec.id.value()},
+                                            {"waiting", state.waiting},
+                                            {"objective_left", candidate.job->objective - now}});
+            }
+            m_figures.preempted += chosen.size();
+            stopped += chosen.size();
+            chosen.clear();
+            places += fitsThen - fits;
+            fits = fitsThen;
+        }
+    }
+}
+
 // Section: workers for a task
 
 bool Dispatcher::hasRoom(const Worker &worker, const Step &step) const
@@ -394,6 +484,8 @@
 {
     const StepState &state = candidate.occurrence->steps[candidate.step];
     const Step &step = candidate.job->spec.steps[candidate.step];
+    if (allowedPlaces(candidate, now) < step.count)
+        return; // no waiting makes room for it
     const bool needsAdvice = candidate.job->spec.queue.advice.has_value();
     std::vector<Worker *> places;
     size_t pool = 0;
@@ -426,6 +518,20 @@
 
 // Section: advice
 
+// Tasks of the step that the workers known to be allowed could hold if they were empty.
+int64_t Dispatcher::allowedPlaces(const Candidate &candidate, TimePoint now) const
+{
+    const Step &step = candidate.job->spec.steps[candidate.step];
+    const StepState &state = candidate.occurrence->steps[candidate.step];
+    int64_t places = 0;
+    for (const auto &[id, worker] : m_workers) {
+        if (isUsable(*worker, candidate, now)
+            && (!candidate.job->spec.queue.advice || state.advice.allowed.contains(id)))
+            places += tasksThatFit(worker->entry.capacity, step);
+    }
+    return places;
+}
+
 // Workers that advice is to be asked about: those known to be allowed whose tickets have ended, and
 // others, the best first, until enough places can be expected.
 std::vector<WorkerId> Dispatcher::chooseAsked(const Candidate &candidate, TimePoint now)
@@ -440,6 +546,8 @@
         bool isAllowed;
         int64_t fits;
     };
+    // A gang that the workers known to be allowed can't hold even when empty needs others.
+    const bool asksAll = isFirst || (step.gang && allowedPlaces(candidate, now) < step.count);
     std::vector<Choice> choices;
     int64_t placesNow = 0;
     for (const auto &[id, worker] : m_workers) {
@@ -449,9 +557,11 @@
         const bool isAllowed = asked != state.advice.asked.end() && asked->second;
         if ((asked != state.advice.asked.end() && !isAllowed) || findTicket(state, *worker, now))
             continue;
-        const int64_t fits = hasRoom(*worker, step) ? tasksThatFit(freeRoom(*worker), step) : 0;
+        const int64_t fits = hasRoom(*worker, step) || step.gang
+                ? tasksThatFit(comingRoom(*worker), step)
+                : 0;
         placesNow += fits;
-        if (fits == 0 && !isFirst && !isAllowed)
+        if (fits == 0 && !asksAll && !isAllowed)
             continue;
         const double value = score(*worker, candidate, state.tasks[0]) + (isAllowed ? 5 : 0)
                 - (fits > 0 ? 0 : 10);
@@ -459,7 +569,7 @@
     }
     // Tickets are for a start at once. The first answer also tells where to wait for room.
     const int64_t needed = step.gang ? step.count : 1;
-    if (!isFirst && placesNow < needed)
+    if (!asksAll && placesNow < needed)
         return {};
     std::sort(choices.begin(), choices.end(),
               [](const Choice &a, const Choice &b) { return a.score > b.score; });
