Notice an ended owner by probes; reserve workers for large tasks; one takeover at a time

Cause: after a kill of the owner nothing started for 1.4 s (silence) and, after a loss of power of all, for 1.4 s more; two members took over within 20 ms of each other, because the second compared the row with the owner that it had seen after its own question. Tasks that need a whole worker (speech-transcribe, trace-review: 8 accelerators, no gang) waited while small tasks refilled each worker (room lines: 10 to 20 accelerators free, 8 to 18 steps unplaced). Change: members ask the owner's address each 200 ms; a refused connection shortens the silence to 420 ms. A takeover is dropped if the row names another owner than the one seen before. Workers that will have room first are kept free for tasks that need half of a worker or more.

--- a/src/cell/owner.cpp
+++ b/src/cell/owner.cpp
@@ -55,6 +55,7 @@
     , m_loadTimer(context)
     , m_membersTimer(context)
     , m_announceTimer(context)
+    , m_probeTimer(context)
     , m_startsSent(metrics.counter("cwl_cell_starts_total", "Starts ordered."))
     , m_endsSeen(metrics.counter("cwl_cell_reports_total", "Reports of workers."))
     , m_takeovers(metrics.counter("cwl_cell_takeovers_total", "Times this member became owner."))
@@ -85,6 +86,7 @@
     m_configFollower.start();
     m_ownership.start();
     announce();
+    probeOwner();
 }
 
 void Owner::resign(std::function<void()> done)
@@ -225,6 +227,51 @@
     readMembers();
 }
 
+// Asks the owner from time to time whether it still runs, so that the end of its process is noticed
+// before its silence.
+void Owner::probeOwner()
+{
+    after(m_probeTimer, probeInterval, [this] { probeOwner(); });
+    const OwnerRow &owner = m_ownership.owner();
+    if (m_ownership.isOwner() || owner.holder.empty() || owner.address == m_options.address) {
+        // This address was the owner's in an earlier life of this process.
+        if (!m_ownership.isOwner() && owner.address == m_options.address)
+            m_ownership.noteOwnerEnded(owner.epoch);
+        return;
+    }
+    if (m_probeAddress != owner.address) {
+        auto client = http::Client::create(m_context, {.address = owner.address,
+                                                       .maxConnections = 1,
+                                                       .connectTimeout = probeTimeout,
+                                                       .traffic = Traffic::RpcControl});
+        if (!client.ok())
+            return;
+        m_probe = *std::move(client);
+        m_probeAddress = owner.address;
+    }
+    http::Request request;
+    request.path = "/cell/owner";
+    m_probe->send(std::move(request), BootClock::now() + probeTimeout,
+                  [this, alive = m_alive,
+                   epoch = owner.epoch](const absl::StatusOr<http::Response> &response) {
+                      if (*alive)
+                          onProbed(epoch, response);
+                  });
+}
+
+void Owner::onProbed(Epoch epoch, const absl::StatusOr<http::Response> &response)
+{
+    if (!response.ok()) {
+        const Failure failure = failureOf(response.status());
+        if (failure == Failure::ConnectionRefused || failure == Failure::ConnectionLost)
+            m_ownership.noteOwnerEnded(epoch);
+        return;
+    }
+    const absl::StatusOr<Json::Value> value = parseJson(response->body);
+    if (response->status == 200 && value.ok() && (*value)["epoch"].asInt64() != epoch.value())
+        m_ownership.noteOwnerEnded(epoch);
+}
+
 // A member at the last owner's address that does not hold its epoch proves that it has stopped.
 void Owner::askPredecessor(const OwnerRow &previous)
 {
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -81,6 +81,8 @@
     void lost(const char *reason);
     void load();
     void askPredecessor(const OwnerRow &previous);
+    void probeOwner();
+    void onProbed(Epoch epoch, const absl::StatusOr<http::Response> &response);
     void onProgress(const Page &page);
     void onOwnerRows(const Page &page);
     void onJobsSnapshot(std::vector<Row> rows);
@@ -129,7 +131,9 @@
     std::unordered_map<std::string, jobs::Progress> m_loadedProgress;
     std::unordered_map<std::string, std::shared_ptr<Watch>> m_watches;
     std::unordered_map<std::string, std::string> m_usedWorkers; // id to address, as to be stored
-    std::unique_ptr<http::Client> m_predecessor;
+    std::shared_ptr<http::Client> m_predecessor;
+    std::shared_ptr<http::Client> m_probe; // to the owner
+    std::string m_probeAddress;
     bool m_usedWorkersChanged = false;
     bool m_isActive = false;
     bool m_isDecisionDue = false;
@@ -143,6 +147,7 @@
     Timer m_loadTimer;
     Timer m_membersTimer;
     Timer m_announceTimer;
+    Timer m_probeTimer;
     bool m_isAnnounced = false;
 
     metrics::Counter &m_startsSent;
--- a/src/cell/ownership.cpp
+++ b/src/cell/ownership.cpp
@@ -142,21 +142,37 @@
 
 // Section: takeover
 
-void Ownership::considerTakeover()
+// True if the owner may be replaced.
+bool Ownership::isSilent() const
+{
+    const Duration silence = BootClock::now() - m_leaseChanged;
+    const bool hasEnded = m_endedEpoch.value() > 0 && m_endedEpoch == m_owner.epoch;
+    return m_owner.holder.empty() || silence >= (hasEnded ? endedSilence : silenceLimit);
+}
+
+void Ownership::noteOwnerEnded(Epoch epoch)
 {
-    if (m_isOwner || m_isTakingOver || m_isStopped)
+    if (m_isOwner || epoch != m_owner.epoch)
         return;
-    const bool isVacant = m_owner.holder.empty();
-    if (!isVacant && BootClock::now() - m_leaseChanged < silenceLimit)
+    if (m_endedEpoch != epoch)
+        log::info("owner_ended", {{"epoch", epoch.value()},
+                                  {"holder", m_owner.holder},
+                                  {"silence", BootClock::now() - m_leaseChanged}});
+    m_endedEpoch = epoch;
+    considerTakeover();
+}
+
+void Ownership::considerTakeover()
+{
+    if (m_isOwner || m_isTakingOver || m_isStopped || !isSilent())
         return;
     m_isTakingOver = true;
-    const auto longest = isVacant ? takeoverJitter / 5 : takeoverJitter;
+    const bool isKnownEnded = m_owner.holder.empty() || m_endedEpoch == m_owner.epoch;
+    const auto longest = isKnownEnded ? takeoverJitter / 5 : takeoverJitter;
     const Duration pause(int64_t(m_random() % uint64_t(longest.count())));
     after(m_takeoverTimer, pause, [this] {
         m_isTakingOver = false;
-        const bool isStillSilent = m_owner.holder.empty()
-                || BootClock::now() - m_leaseChanged >= silenceLimit;
-        if (!m_isOwner && isStillSilent)
+        if (!m_isOwner && isSilent())
             takeOver();
     });
 }
@@ -166,10 +182,11 @@
     if (m_isTakingOver || m_isOwner || m_isStopped)
         return;
     m_isTakingOver = true;
+    const OwnerRow seen = m_owner;
     m_store.read({.table = ownerTable, .part = ownerPart, .from = ownerKey,
                   .until = std::string(ownerKey) + "!"},
                  BootClock::now() + storeCallTimeout,
-                 [this, alive = m_alive](const absl::StatusOr<Page> &page) {
+                 [this, alive = m_alive, seen](const absl::StatusOr<Page> &page) {
                      if (!*alive)
                          return;
                      m_isTakingOver = false;
@@ -187,11 +204,8 @@
                          }
                          previous = *row;
                          revision = page->rows[0].revision;
-                         if (previous.epoch > m_owner.epoch && !previous.holder.empty()) {
-                             // Another member was first; its renewals have not been seen yet.
-                             m_owner = previous;
-                             m_leaseChanged = BootClock::now();
-                             m_events.changed(m_owner);
+                         if (previous.epoch > seen.epoch && !previous.holder.empty()) {
+                             noteNewOwner(previous); // another member was first
                              return;
                          }
                      }
@@ -199,6 +213,15 @@
                  });
 }
 
+void Ownership::noteNewOwner(const OwnerRow &owner)
+{
+    if (owner.epoch <= m_owner.epoch)
+        return; // its renewals have been seen meanwhile
+    m_owner = owner;
+    m_leaseChanged = BootClock::now();
+    m_events.changed(m_owner);
+}
+
 void Ownership::writeTakeover(const OwnerRow &previous, Revision revision)
 {
     m_isTakingOver = true;
--- a/src/cell/ownership.h
+++ b/src/cell/ownership.h
@@ -28,9 +28,14 @@
 
 // Section: limits
 
-constexpr Duration renewInterval = milliseconds(300);
-constexpr Duration silenceLimit = milliseconds(1200);  // four renewals
+constexpr Duration renewInterval = milliseconds(250);
+constexpr Duration silenceLimit = milliseconds(1000);  // four renewals
 constexpr Duration takeoverJitter = milliseconds(250); // so that members do not all write at once
+// An owner whose address refuses connections, or is answered by another process, has ended. It is
+// replaced after a shorter silence; a link that is cut on one side alone shows no silence.
+constexpr Duration endedSilence = milliseconds(420);
+constexpr Duration probeInterval = milliseconds(200); // between questions to the owner
+constexpr Duration probeTimeout = milliseconds(250);
 constexpr Duration followWait = milliseconds(400);     // of one look at the renewals
 constexpr Duration followTimeout = milliseconds(1200); // beyond its wait
 constexpr Duration storeCallTimeout = milliseconds(1500);
@@ -78,6 +83,9 @@
     // A worker or a member has seen a newer owner.
     void depose(const char *reason);
 
+    // The process that held `epoch` does not run any more.
+    void noteOwnerEnded(Epoch epoch);
+
 private:
     struct Pending;
 
@@ -85,8 +93,10 @@
     void readLease();
     void onLease(const Row &row);
     void onFollowFailed(const absl::Status &status);
+    bool isSilent() const;
     void considerTakeover();
     void takeOver();
+    void noteNewOwner(const OwnerRow &owner);
     void writeTakeover(const OwnerRow &previous, Revision revision);
     void win(const OwnerRow &previous, Revision revision);
     void renew();
@@ -110,6 +120,7 @@
     Revision m_revision = {};   // of the owner's row, while this member owns
     Revision m_leaseSeen = {};  // revision of the followed row
     TimePoint m_leaseChanged;   // when the followed row was last seen to change
+    Epoch m_endedEpoch = {};    // whose process is known to have ended
     TimePoint m_lastAnswer;
     TimePoint m_lastCommit = {}; // send time of the last write that took effect
     TimePoint m_lastRenewal = {};
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -202,6 +202,11 @@
     log::info("job_known", {{"job", job->spec.id.value()},
                             {"queue", job->spec.queue.name},
                             {"steps", job->spec.steps.size()},
+                            {"tasks", job->spec.steps.empty() ? 0 : job->spec.steps[0].count},
+                            {"gang", !job->spec.steps.empty() && job->spec.steps[0].gang},
+                            {"accelerators", job->spec.steps.empty()
+                                     ? 0
+                                     : job->spec.steps[0].each.accelerators.value()},
                             {"objective", objective}});
     m_open.push_back(job.get());
     m_jobs.emplace(job->spec.id.value(), std::move(job));
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -217,6 +217,7 @@
         Resources free = {};
         int64_t topPriority = 0; // of the queues that use it
         size_t unplaced = 0;
+        size_t unplacedGangs = 0;
     };
 
     // Section: jobs (dispatcher.cpp)
@@ -250,6 +251,7 @@
 
     // Section: placement (placement.cpp)
     std::vector<Candidate> candidates(TimePoint now);
+    void reportRooms(TimePoint now);
     void place(const Candidate &candidate, Orders &orders, TimePoint now);
     Placed placeTasks(const Candidate &candidate, Orders &orders, TimePoint now);
     Placed placeGang(const Candidate &candidate, Orders &orders, TimePoint now);
@@ -258,6 +260,7 @@
     bool hasRoom(const Worker &worker, const Step &step) const;
     double score(const Worker &worker, const Candidate &candidate, const Task &task) const;
     const Ticket *findTicket(const StepState &step, const Worker &worker, TimePoint now) const;
+    TimePoint whenRoom(const Worker &worker, const Step &step, TimePoint now) const;
     void reserve(const Candidate &candidate, TimePoint now);
     void start(const Candidate &candidate, uint32_t index, Worker &worker, int64_t attempt,
                Orders &orders, TimePoint now);
@@ -288,6 +291,7 @@
     std::unordered_map<std::string, ServiceRoom> m_rooms;
     std::unordered_map<const Worker *, const Job *> m_reserved; // for gangs, during one pass
     std::unordered_map<std::string, double> m_allowedShare;     // by queue, smoothed
+    TimePoint m_roomsReported = {};
     Figures m_figures;
 };
 
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -29,6 +29,9 @@
 constexpr Duration leastRunBeforePreemption = milliseconds(400); // a run that just began is left
 constexpr int64_t mostUrgentPriority = 0; // of a queue; others wait for room
 constexpr size_t maxPreemptionsPerStep = 16;                      // in one pass
+constexpr double mostReserved = 0.4;  // share of a service's workers
+constexpr Duration stopEstimate = milliseconds(600); // of a run that is being stopped
+constexpr Duration roomReportInterval = seconds(1);
 constexpr Duration drainMargin = milliseconds(1300); // a stop takes up to 0.9 s
 
 // A tail above `paceDownAt` of its target slows what fills beside it; below `paceUpAt` it speeds
@@ -60,6 +63,17 @@
     return std::max<int64_t>(0, fits);
 }
 
+// True if one task of the step takes much of the worker.
+bool isLarge(const Step &step, const Worker &worker)
+{
+    const Resources &all = worker.entry.capacity;
+    return step.each.fitsIn(all)
+            && (2 * step.each.cores.value() >= all.cores.value()
+                || 2 * step.each.memory.value() >= all.memory.value()
+                || (all.accelerators.value() > 0
+                    && 2 * step.each.accelerators.value() >= all.accelerators.value()));
+}
+
 bool hasLabel(const Worker &worker, const std::string &label)
 {
     return label.empty()
@@ -155,12 +169,30 @@
     m_reserved.clear();
     for (const Candidate &candidate : candidates(now))
         place(candidate, orders, now);
+    reportRooms(now);
     for (Job *job : m_open)
         askEarly(*job, orders, now);
     repeatStops(orders, now);
     return orders;
 }
 
+// One line a second for each service: what is free and what could not be placed.
+void Dispatcher::reportRooms(TimePoint now)
+{
+    if (now - m_roomsReported < roomReportInterval)
+        return;
+    m_roomsReported = now;
+    for (const auto &[service, room] : m_rooms)
+        log::info("room", {{"service", service},
+                           {"free_cores", room.free.cores.value()},
+                           {"cores", room.capacity.cores.value()},
+                           {"free_accelerators", room.free.accelerators.value()},
+                           {"accelerators", room.capacity.accelerators.value()},
+                           {"unplaced_steps", room.unplaced},
+                           {"unplaced_gangs", room.unplacedGangs},
+                           {"reserved_workers", m_reserved.size()}});
+}
+
 void Dispatcher::place(const Candidate &candidate, Orders &orders, TimePoint now)
 {
     const auto room = m_rooms.find(candidate.job->spec.queue.service);
@@ -172,6 +204,7 @@
     if (placed == Placed::All)
         return;
     ++room->second.unplaced;
+    room->second.unplacedGangs += candidate.job->spec.steps[candidate.step].gang ? 1 : 0;
     if (placed == Placed::Reserved)
         return;
     preempt(candidate, now);
@@ -423,8 +456,10 @@
                     < m_settings.reserveForUrgent * double(room.capacity.cores.value()))
             return Placed::Reserved;
         Worker *const worker = chooseWorker(candidate, task, now);
-        if (!worker)
+        if (!worker) {
+            reserve(candidate, now);
             return Placed::NoWorker;
+        }
         start(candidate, index, *worker, nextAttempt(task.attempt, m_epoch), orders, now);
     }
     return Placed::All;
@@ -479,36 +514,61 @@
     return Placed::All;
 }
 
-// Keeps workers that will have room for the gang first free of less urgent work, for this pass.
+// When the runs on the worker are expected to have left room for one task of the step.
+TimePoint Dispatcher::whenRoom(const Worker &worker, const Step &step, TimePoint now) const
+{
+    std::vector<std::pair<TimePoint, Resources>> ends;
+    for (const auto &[task, run] : worker.runs) {
+        if (!run.job)
+            continue;
+        const Step &spec = stepSpec(*run.job, run.address);
+        const bool isStopping = run.phase == RunPhase::Stopping;
+        if (spec.lasting && !isStopping)
+            continue;
+        ends.emplace_back(now + (isStopping ? stopEstimate : remainingOf(run, spec, now)),
+                          run.room);
+    }
+    std::sort(ends.begin(), ends.end(),
+              [](const auto &a, const auto &b) { return a.first < b.first; });
+    Resources room = freeRoom(worker);
+    TimePoint when = now;
+    for (const auto &[end, freed] : ends) {
+        if (tasksThatFit(room, step) > 0)
+            return when;
+        room = room + freed;
+        when = end;
+    }
+    return tasksThatFit(room, step) > 0 ? when : TimePoint::max();
+}
+
+// Keeps the workers that will have room first free of less urgent work, for this pass: a task that
+// needs most of a worker would find its room taken by small ones again and again.
 void Dispatcher::reserve(const Candidate &candidate, TimePoint now)
 {
     const StepState &state = candidate.occurrence->steps[candidate.step];
     const Step &step = candidate.job->spec.steps[candidate.step];
-    if (allowedPlaces(candidate, now) < step.count)
-        return; // no waiting makes room for it
+    if (step.fill || now > candidate.job->hopeless
+        || (step.gang && allowedPlaces(candidate, now) < step.count))
+        return;
     const bool needsAdvice = candidate.job->spec.queue.advice.has_value();
-    std::vector<Worker *> places;
+    std::vector<std::pair<TimePoint, Worker *>> places;
     size_t pool = 0;
     for (auto &[id, worker] : m_workers) {
         if (worker->entry.service != candidate.job->spec.queue.service)
             continue;
         ++pool;
-        if (!isUsable(*worker, candidate, now) || !step.each.fitsIn(worker->entry.capacity))
-            continue;
-        if (needsAdvice && !state.advice.allowed.contains(id))
+        if (!isUsable(*worker, candidate, now) || !isLarge(step, *worker)
+            || (needsAdvice && !state.advice.allowed.contains(id)))
             continue;
-        places.push_back(worker.get());
+        const TimePoint when = whenRoom(*worker, step, now);
+        if (when != TimePoint::max())
+            places.emplace_back(when, worker.get());
     }
-    std::sort(places.begin(), places.end(), [](const Worker *a, const Worker *b) {
-        const Resources freeA = freeRoom(*a);
-        const Resources freeB = freeRoom(*b);
-        return std::pair(freeA.accelerators, freeA.cores)
-                > std::pair(freeB.accelerators, freeB.cores);
-    });
-    const size_t most = std::max<size_t>(1, pool / 2);
+    std::sort(places.begin(), places.end());
+    const size_t most = std::max<size_t>(1, size_t(double(pool) * mostReserved));
     uint32_t found = 0;
-    for (Worker *worker : places) {
-        if (found >= step.count || m_reserved.size() >= most)
+    for (const auto &[when, worker] : places) {
+        if (found >= state.waiting || m_reserved.size() >= most)
             return;
         m_reserved[worker] = candidate.job;
         found += uint32_t(
