Place lasting tasks first; model the cell's ownership; stand-ins that speak the users' protocol

Model: an owner that was replaced unnoticed could start a task on a worker that restarted and forgot the newer epoch (mutation RESTARTED_WORKER_IS_TRUSTED fails). Change: lasting tasks first, without the reserve; after a restart of a worker, starts wait for a write to the store that shows that the owner was not replaced. Long-running programs log to standard output.

--- a/src/cell/owner.cpp
+++ b/src/cell/owner.cpp
@@ -43,7 +43,9 @@
                            [this](const OwnerRow &owner) {
                                if (ownerChanged)
                                    ownerChanged(owner);
-                           }})
+                           },
+                   .confirmed =
+                           [this](TimePoint sentAt) { m_dispatcher.confirmOwnership(sentAt); }})
     , m_dispatcher(options.dispatcher)
     , m_advice(context, advice)
     , m_configFollower(context, store, {.table = reader.configTable},
--- a/src/cell/ownership.cpp
+++ b/src/cell/ownership.cpp
@@ -365,6 +365,7 @@
     m_owner = pending->row;
     m_revision = revision;
     m_lastCommit = pending->sentAt;
+    m_events.confirmed(m_lastCommit);
     if (pending->isResignation)
         lose("resigned");
     if (pending->committed)
--- a/src/cell/ownership.h
+++ b/src/cell/ownership.h
@@ -50,6 +50,7 @@
     std::function<void(Epoch epoch, const OwnerRow &previous)> won;
     std::function<void(const char *reason)> lost;
     std::function<void(const OwnerRow &owner)> changed; // the holder, as far as is known
+    std::function<void(TimePoint sentAt)> confirmed;    // a write of this owner took effect
 };
 
 class Ownership
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -49,6 +49,7 @@
     m_epoch = epoch;
     m_predecessorEnds = predecessorEnds;
     m_isSettledForGood = false;
+    m_ownerAt = {};
     m_workers.clear();
     m_jobs.clear();
     m_open.clear();
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -10,7 +10,9 @@
 //  - room counts from the order until the end is listed, the order is refused or the lease ended;
 //  - an order without an answer is stopped, because it may be carried out later;
 //  - a job taken over from an earlier owner starts nothing until every worker has reported or its
-//    lease has ended.
+//    lease has ended;
+//  - a worker that restarts forgets whom it obeyed: it gets starts again once a write to the store
+//    has shown that this owner was not replaced before.
 
 #pragma once
 
@@ -181,6 +183,8 @@
     bool hasUnstored() const;
     bool hasUnstoredFinal() const; // callers wait for it
     void committed(const Batch &batch);
+    // A write of this owner, sent at `sentAt`, took effect: it was the owner then.
+    void confirmOwnership(TimePoint sentAt) { m_ownerAt = std::max(m_ownerAt, sentAt); }
 
     // Section: figures
 
@@ -236,7 +240,7 @@
     void wait(Job &job, const TaskAddress &address);
     void endRun(Worker &worker, const EndedTask &end, TimePoint now);
     void loseRuns(Worker &worker, const char *reason, TimePoint now);
-    void noteRestart(Worker &worker, int64_t born);
+    void noteRestart(Worker &worker, int64_t born, TimePoint now);
     void noteDone(Job &job, const TaskAddress &address, TimePoint now);
     void noteFailed(Job &job, const TaskAddress &address, int64_t attempt, Worker &worker,
                     TimePoint now);
@@ -291,6 +295,7 @@
     std::unordered_map<std::string, ServiceRoom> m_rooms;
     std::unordered_map<const Worker *, const Job *> m_reserved; // for gangs, during one pass
     std::unordered_map<std::string, double> m_allowedShare;     // by queue, smoothed
+    TimePoint m_ownerAt = {}; // this owner's last write that took effect was sent then
     TimePoint m_roomsReported = {};
     Figures m_figures;
 };
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -140,8 +140,11 @@
                 continue;
             for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                 const StepState &state = occurrence.steps[step];
+                // Tasks that last are few, and each moment without them is lost.
+                const bool isFirst = job->spec.steps[step].lasting;
                 if (state.waiting > 0 && now >= state.retryAt && isReady(occurrence, *job, step))
-                    found.push_back({rank, job, &occurrence, step});
+                    found.push_back({isFirst ? nearness - hopelessUnit : rank, job, &occurrence,
+                                     step});
             }
         }
     }
@@ -314,7 +317,8 @@
     const Step &step = candidate.job->spec.steps[candidate.step];
     if (worker.entry.service != candidate.job->spec.queue.service || !worker.isRead
         || !worker.isListed || worker.entry.isDraining || worker.unknownRuns > 0
-        || now < worker.shunnedUntil || now - worker.lastReport > reportFreshness)
+        || now < worker.shunnedUntil || now - worker.lastReport > reportFreshness
+        || (worker.bornSeen != TimePoint() && m_ownerAt <= worker.bornSeen))
         return false;
     if (!hasLabel(worker, step.label))
         return false;
@@ -451,7 +455,7 @@
         Task &task = state.tasks[index];
         if (task.phase != Task::Phase::Waiting)
             continue;
-        if (!step.fill && candidate.job->spec.queue.priority > room.topPriority
+        if (!step.fill && !step.lasting && candidate.job->spec.queue.priority > room.topPriority
             && double(room.free.cores.value() - step.each.cores.value())
                     < m_settings.reserveForUrgent * double(room.capacity.cores.value()))
             return Placed::Reserved;
@@ -660,7 +664,9 @@
         return;
     const AdvicePolicy &policy = *candidate.job->spec.queue.advice;
     query.step = {candidate.job->spec.id, candidate.occurrence->number, candidate.step, 0};
-    query.priority = candidate.job->spec.queue.priority;
+    query.priority = candidate.job->spec.steps[candidate.step].lasting
+            ? -1
+            : candidate.job->spec.queue.priority;
     query.expected = policy.decision + policy.perWorker * int64_t(query.workers.size());
     state.advice.isAsking = true;
     log::info("advice_asked", {{"step", query.step.stepText()},
--- a/src/jobs/runs.cpp
+++ b/src/jobs/runs.cpp
@@ -259,8 +259,9 @@
 
 // The worker has begun a new life. Orders that were on their way may have reached either life, so
 // what is left of the runs is told by this report and the next one.
-void Dispatcher::noteRestart(Worker &worker, int64_t born)
+void Dispatcher::noteRestart(Worker &worker, int64_t born, TimePoint now)
 {
+    worker.bornSeen = now;
     log::warn("worker_restarted",
               {{"worker", worker.entry.id.value()}, {"born", born}, {"runs", worker.runs.size()}});
     worker.endsProcessed = 0;
@@ -379,7 +380,7 @@
         return;
     Worker &worker = *found->second;
     if (worker.born != 0 && report.born != 0 && report.born != worker.born)
-        noteRestart(worker, report.born);
+        noteRestart(worker, report.born, now);
     if (report.born != 0)
         worker.born = report.born;
     if (!worker.isRead) {
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -119,6 +119,7 @@
     Millicores fillUsed = {};
     bool isUnanswered = false;   // the last look at it failed
     int64_t born = 0;            // of the life that reported last
+    TimePoint bornSeen = {};     // a restart that this owner has seen; zero: none
     int64_t clockMs = 0;         // its clock ...
     TimePoint clockAt = {};      // ... no later than at this instant
     TimePoint lastReport = {};
--- a/src/node/log.cpp
+++ b/src/node/log.cpp
@@ -30,15 +30,11 @@
     Output()
         : m_logger(log4cxx::Logger::getLogger("cwl"))
     {
-        const auto layout = std::make_shared<log4cxx::PatternLayout>(
-                "time=%d{yyyy-MM-ddTHH:mm:ss.SSS}{UTC}Z level=%p %m%n");
-        const auto console = std::make_shared<log4cxx::ConsoleAppender>(
-                layout, log4cxx::ConsoleAppender::getSystemErr());
         m_appender = std::make_shared<log4cxx::AsyncAppender>();
         m_appender->setBufferSize(maxWaitingLines);
-        // A reader of standard error that stalls must not stall the control thread.
+        // A reader of the log that stalls must not stall the control thread.
         m_appender->setBlocking(false);
-        m_appender->addAppender(console);
+        setStream(Stream::Error);
         m_logger->addAppender(m_appender);
         m_logger->setAdditivity(false);
         m_logger->setLevel(log4cxx::Level::getAll());
@@ -50,6 +46,16 @@
         std::atexit(finish);
     }
 
+    void setStream(Stream stream)
+    {
+        const auto layout = std::make_shared<log4cxx::PatternLayout>(
+                "time=%d{yyyy-MM-ddTHH:mm:ss.SSS}{UTC}Z level=%p %m%n");
+        m_appender->removeAllAppenders();
+        m_appender->addAppender(std::make_shared<log4cxx::ConsoleAppender>(
+                layout, stream == Stream::Output ? log4cxx::ConsoleAppender::getSystemOut()
+                                                 : log4cxx::ConsoleAppender::getSystemErr()));
+    }
+
     void write(Level level, const std::string &name, Pairs pairs)
     {
         std::optional<uint64_t> dropped;
@@ -137,6 +143,11 @@
         output().write(level, name, pairs);
 }
 
+void setStream(Stream stream)
+{
+    output().setStream(stream);
+}
+
 void finish()
 {
     output().close();
--- a/src/node/log.h
+++ b/src/node/log.h
@@ -1,4 +1,5 @@
-// Logs to standard error: one event a line, as key=value pairs. Every library may use it.
+// Logs, one event a line, as key=value pairs. Every library may use it. Long-running programs log
+// to standard output; others to standard error, beside their own output.
 //
 //     log::warn("rpc_connection_lost", {{"address", address}, {"error", status}});
 //     if (log::isEnabled(log::Level::Debug))
@@ -10,7 +11,7 @@
 //
 // An event that comes more often than its rate limit is dropped; the next line of that event says
 // how many were, as dropped=N. Lines are written by a thread of their own, so no caller waits for
-// standard error; when 4,096 lines wait, further ones are dropped.
+// its reader; when 4,096 lines wait, further ones are dropped.
 
 #pragma once
 
@@ -47,6 +48,13 @@
 absl::StatusOr<Level> levelFromName(const std::string &name);
 const char *levelName(Level level);
 
+// Section: destination
+
+enum class Stream { Error, Output };
+
+// Standard error before the first call. At the start of a program, before other threads log.
+void setStream(Stream stream);
+
 // Section: pairs
 
 // A value that is written without a limit on its length, for state dumps.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -135,6 +135,7 @@
     const absl::StatusOr<log::Level> level = log::levelFromName(settings.logLevel);
     if (!level.ok())
         return level.status();
+    log::setStream(log::Stream::Output);
     log::setLevel(*level);
     absl::StatusOr<std::unique_ptr<http::Server>> opened =
             http::Server::create(traffic,
--- a/src/settings/follower.cpp
+++ b/src/settings/follower.cpp
@@ -232,10 +232,17 @@
 
     void storeUnavailable()
     {
-        if (current())
+        if (m_peers.empty())
             return;
-        for (const std::string &peer : m_peers)
-            askPeer(peer);
+        if (!current()) {
+            for (const std::string &peer : m_peers)
+                askPeer(peer);
+            return;
+        }
+        // A notice that was missed is not sent again, so a process that holds an older version
+        // would stay behind for the whole outage. One peer a poll keeps the load low.
+        m_nextPeer = (m_nextPeer + 1) % m_peers.size();
+        askPeer(m_peers[m_nextPeer]);
     }
 
     void askPeer(const std::string &peer)
@@ -380,6 +387,7 @@
     rpc::Server &m_rpcServer;
     rpc::Client &m_rpcClient;
     std::vector<std::string> m_peers;
+    size_t m_nextPeer = 0; // asked last while the store is away
     boost::asio::steady_timer m_timer;
     std::vector<Listener> m_listeners;
     mutable std::mutex m_mutex; // guards m_current, which traffic threads read
--- a/tests/harness/process.cpp
+++ b/tests/harness/process.cpp
@@ -182,7 +182,9 @@
 
 std::string Process::log() const
 {
-    return readFile(m_options.folder + "/" + m_options.name + ".log");
+    // Long-running programs log to standard output; what they say before that goes to the other.
+    return readFile(m_options.folder + "/" + m_options.name + ".log")
+            + readFile(m_options.folder + "/" + m_options.name + ".out");
 }
 
 // The process's clock counts nanoseconds; /proc/<pid>/stat counts in steps of 10 ms, which is 0.25%
--- a/tests/jobs/dispatcher_test.cpp
+++ b/tests/jobs/dispatcher_test.cpp
@@ -36,6 +36,8 @@
     CPPUNIT_TEST(completedIsShownOnceStored);
     CPPUNIT_TEST(restoredJobWaitsForSilentWorkers);
     CPPUNIT_TEST(looksWithoutAnswerRenewNothing);
+    CPPUNIT_TEST(restartedWorkerWaitsForAWriteToTheStore);
+    CPPUNIT_TEST(lastingTaskUsesRoomThatIsKeptForUrgentOnes);
     CPPUNIT_TEST(drainingWorkerGetsNoStart);
     CPPUNIT_TEST(gangStartsAsAWhole);
     CPPUNIT_TEST(stepWithAdviceStartsOnlyWithTicket);
@@ -174,6 +176,50 @@
         CPPUNIT_ASSERT_EQUAL(std::string("b"), second.starts[0].worker.value());
     }
 
+    // Guards against the mutation RESTARTED_WORKER_IS_TRUSTED of model/cell.pml: an owner that was
+    // replaced unnoticed starts on a worker that has forgotten the newer owner.
+    void restartedWorkerWaitsForAWriteToTheStore()
+    {
+        putWorker("a", 1000);
+        report("a", 10);
+        WorkerReport reborn;
+        reborn.born = 2;
+        m_dispatcher.onReport(WorkerId("a"), reborn, at(18), at(20));
+        m_dispatcher.addJob(makeJob("j", 1, 1000), at(20));
+        m_dispatcher.confirmOwnership(at(15));
+        CPPUNIT_ASSERT(decide(30).starts.empty());
+        m_dispatcher.confirmOwnership(at(25));
+        CPPUNIT_ASSERT_EQUAL(size_t(1), decide(40).starts.size());
+    }
+
+    // Guards against the fault of ycwat-ledge scale-2 659307132717: a task that lasts waited as long
+    // as its service had no more free room than what is kept for urgent queues.
+    void lastingTaskUsesRoomThatIsKeptForUrgentOnes()
+    {
+        putWorker("a", 10000);
+        report("a", 10);
+        CellConfig config;
+        config.version = 1;
+        config.queues = {{.name = "urgent", .service = "service", .priority = 0},
+                         {.name = "bulk", .service = "service", .priority = 2}};
+        m_dispatcher.setConfig(config);
+        JobSpec filling = makeJob("filling", 1, 9300);
+        filling.queue.name = "urgent";
+        m_dispatcher.addJob(filling, at(10));
+        CPPUNIT_ASSERT_EQUAL(size_t(1), decide(20).starts.size());
+        JobSpec bulk = makeJob("bulk", 1, 500);
+        bulk.queue.name = "bulk";
+        m_dispatcher.addJob(bulk, at(20));
+        CPPUNIT_ASSERT(decide(30).starts.empty());
+        JobSpec lasting = makeJob("lasting", 1, 500);
+        lasting.queue.name = "bulk";
+        lasting.steps[0].lasting = true;
+        m_dispatcher.addJob(lasting, at(30));
+        const Orders orders = decide(40);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), orders.starts.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("lasting.0.0.0"), orders.starts[0].task);
+    }
+
     void drainingWorkerGetsNoStart()
     {
         putWorker("a", 1000, true);
--- a/tests/jobs/simulation.cpp
+++ b/tests/jobs/simulation.cpp
@@ -353,6 +353,7 @@
 
 void World::store()
 {
+    m_owner->confirmOwnership(m_now);
     if (!m_owner->hasUnstored())
         return;
     const Batch batch = m_owner->collect();
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -99,19 +99,19 @@
     kill(getpid(), signal);
 }
 
-// Sends standard error into a pipe until destroyed.
-class CapturedErrors
+// Sends standard output, to which processes log, into a pipe until destroyed.
+class CapturedLog
 {
 public:
-    CapturedErrors()
-        : m_saved(dup(2))
+    CapturedLog()
+        : m_saved(dup(1))
     {
         CPPUNIT_ASSERT_EQUAL(0, pipe(m_pipe));
-        dup2(m_pipe[1], 2);
+        dup2(m_pipe[1], 1);
     }
-    ~CapturedErrors()
+    ~CapturedLog()
     {
-        dup2(m_saved, 2);
+        dup2(m_saved, 1);
         for (const int file : {m_saved, m_pipe[0], m_pipe[1]})
             close(file);
     }
@@ -346,7 +346,7 @@
         Running running(*node);
         running.awaitStatus("/readyz", 200);
         {
-            CapturedErrors errors;
+            CapturedLog errors;
             signalSelf(SIGUSR1);
             const std::string text = errors.readUntil("seven");
             CPPUNIT_ASSERT(text.find("level=ERROR event=state_process json=") != std::string::npos);
--- /dev/null
+++ b/tests/usersplatform/workers.cpp
@@ -0,0 +1,233 @@
+#include "usersplatform/workers.h"
+
+#include "base/clock.h"
+#include "base/json.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace cwl::usersplatform {
+
+namespace {
+
+constexpr int64_t bornAt = 1700000000000;
+constexpr int64_t clockOffset = 5000; // its clock shows another time than the owner's
+
+} // namespace
+
+Worker::Worker(boost::asio::io_context &context, std::string id, Ledger &ledger)
+    : m_context(context)
+    , m_id(std::move(id))
+    , m_ledger(ledger)
+    , m_leaseTimer(context)
+{
+}
+
+absl::Status Worker::open()
+{
+    auto server = http::Server::create(m_context, {},
+                                       [this](const http::Request &request,
+                                              const http::Responder &respond) {
+                                           handle(request, respond);
+                                       });
+    if (!server.ok())
+        return server.status();
+    m_server = *std::move(server);
+    return absl::OkStatus();
+}
+
+std::string Worker::entry() const
+{
+    Json::Value value;
+    value["service"] = "draw";
+    value["addr"] = absl::StrCat("127.0.0.1:", m_server->port());
+    value["zone"] = "zone-a";
+    value["state"] = "ready";
+    value["capacity"]["cpu"] = 4000;
+    value["capacity"]["memMb"] = 8000;
+    value["capacity"]["gpu"] = 0;
+    value["labels"].append("a");
+    value["labels"].append("r1");
+    value["born"] = Json::Int64(bornAt);
+    return writeJson(value);
+}
+
+int64_t Worker::clockMs() const
+{
+    return std::chrono::duration_cast<milliseconds>(BootClock::now().time_since_epoch()).count()
+            + clockOffset;
+}
+
+void Worker::answer(const http::Responder &respond, int status, Json::Value body) const
+{
+    body["clockMs"] = Json::Int64(clockMs());
+    body["born"] = Json::Int64(bornAt);
+    http::Response response;
+    response.status = status;
+    response.body = writeJson(body);
+    respond(std::move(response));
+}
+
+void Worker::handle(const http::Request &request, const http::Responder &respond)
+{
+    if (isSilent)
+        return;
+    const auto body = parseJson(request.body);
+    if (!body.ok())
+        return answer(respond, 400, {});
+    if (request.headers.value("X-Expected-Instance") != m_id)
+        return answer(respond, 421, {});
+    const int64_t epoch = (*body)["fencingToken"].asInt64();
+    if (epoch < m_epoch) {
+        Json::Value refusal;
+        refusal["reason"] = "fence";
+        return answer(respond, 409, refusal);
+    }
+    m_epoch = epoch;
+    if (request.path == "/v1/run-start")
+        start(*body, respond);
+    else if (request.path == "/v1/run-stop")
+        stop(*body, respond);
+    else if (request.path == "/v1/hold")
+        hold(*body, respond);
+    else
+        answer(respond, 404, {});
+}
+
+void Worker::extend(const Json::Value &body)
+{
+    if (!body.isMember("deadlineMs"))
+        return;
+    m_leaseUntil = std::max(m_leaseUntil, body["deadlineMs"].asInt64());
+    checkLease();
+}
+
+void Worker::checkLease()
+{
+    const int64_t left = m_leaseUntil - clockMs();
+    if (left <= 0) {
+        while (!m_running.empty())
+            end(m_running.begin()->first, "lapsed");
+        return;
+    }
+    m_leaseTimer.expires_after(std::chrono::milliseconds(left));
+    m_leaseTimer.async_wait([this](boost::system::error_code error) {
+        if (!error)
+            checkLease();
+    });
+}
+
+void Worker::start(const Json::Value &body, const http::Responder &respond)
+{
+    const std::string task = body["task"].asString();
+    const int64_t attempt = body["attempt"].asInt64();
+    Json::Value refusal;
+    if (body["deadlineMs"].asInt64() <= clockMs()) {
+        refusal["reason"] = "late";
+        return answer(respond, 409, refusal);
+    }
+    extend(body);
+    const auto running = m_running.find(task);
+    if (running != m_running.end() && running->second.attempt == attempt)
+        return answer(respond, 200, {});
+    if (m_endedAttempts[task] >= attempt) {
+        refusal["reason"] = "old";
+        return answer(respond, 409, refusal);
+    }
+    if (m_ledger.running.contains(task))
+        m_ledger.broken.push_back("two runs at once: " + task);
+    if (m_ledger.acknowledgedDone.contains(task))
+        m_ledger.broken.push_back("started after it was done: " + task);
+    if (m_running.size() >= 4) // every task of the tests asks for a quarter of the worker
+        m_ledger.broken.push_back("over capacity: " + m_id);
+    m_ledger.running[task] = m_id;
+    Run &run = m_running[task];
+    run.attempt = attempt;
+    run.timer = std::make_shared<boost::asio::steady_timer>(m_context);
+    run.timer->expires_after(std::chrono::milliseconds(runMs));
+    run.timer->async_wait([this, task, attempt](boost::system::error_code error) {
+        const auto found = m_running.find(task);
+        if (!error && found != m_running.end() && found->second.attempt == attempt)
+            end(task, "done");
+    });
+    answer(respond, 200, {});
+}
+
+void Worker::stop(const Json::Value &body, const http::Responder &respond)
+{
+    const std::string task = body["task"].asString();
+    const int64_t attempt = body["attempt"].asInt64();
+    m_endedAttempts[task] = std::max(m_endedAttempts[task], attempt);
+    if (m_running.contains(task))
+        end(task, "stopped");
+    answer(respond, 200, {});
+}
+
+void Worker::end(const std::string &task, const std::string &how)
+{
+    const Run run = m_running.at(task);
+    run.timer->cancel();
+    m_running.erase(task);
+    m_ledger.running.erase(task);
+    m_endedAttempts[task] = std::max(m_endedAttempts[task], run.attempt);
+    m_ended.push_back({++m_lastEnd, task, run.attempt, how});
+    answerWaiting();
+}
+
+Json::Value Worker::lists() const
+{
+    Json::Value value;
+    value["running"] = Json::Value(Json::arrayValue);
+    for (const auto &[task, run] : m_running) {
+        Json::Value row(Json::arrayValue);
+        row.append(task);
+        row.append(Json::Int64(run.attempt));
+        row.append("");
+        row.append(50);
+        row.append(0);
+        value["running"].append(row);
+    }
+    value["finished"] = Json::Value(Json::arrayValue);
+    for (const End &ended : m_ended) {
+        Json::Value row(Json::arrayValue);
+        row.append(Json::Int64(ended.number));
+        row.append(ended.task);
+        row.append(Json::Int64(ended.attempt));
+        row.append(ended.how);
+        row.append("");
+        value["finished"].append(row);
+    }
+    return value;
+}
+
+void Worker::hold(const Json::Value &body, const http::Responder &respond)
+{
+    extend(body);
+    const int64_t seen = body["ackCursor"].asInt64();
+    while (!m_ended.empty() && m_ended.front().number <= seen) {
+        if (m_ended.front().how == "done" && m_ledger.acknowledgedDone.insert(m_ended.front().task).second)
+            ++m_ledger.done;
+        m_ended.pop_front();
+    }
+    const int64_t wait = body.get("waitMs", 0).asInt64();
+    if (wait == 0 || !m_ended.empty())
+        return answer(respond, 200, lists());
+    answerWaiting();
+    m_waiting = respond;
+    m_waitTimer = std::make_shared<boost::asio::steady_timer>(m_context);
+    m_waitTimer->expires_after(std::chrono::milliseconds(wait));
+    m_waitTimer->async_wait([this](boost::system::error_code error) {
+        if (!error)
+            answerWaiting();
+    });
+}
+
+void Worker::answerWaiting()
+{
+    if (!m_waiting || isSilent)
+        return;
+    const http::Responder respond = std::exchange(m_waiting, nullptr);
+    m_waitTimer->cancel();
+    answer(respond, 200, lists());
+}
+
+} // namespace cwl::usersplatform
