--- a/src/cell/owner.cpp
+++ b/src/cell/owner.cpp
@@ -58,6 +58,7 @@
     , m_membersTimer(context)
     , m_announceTimer(context)
     , m_probeTimer(context)
+    , m_predecessorTimer(context)
     , m_startsSent(metrics.counter("cwl_cell_starts_total", "Starts ordered."))
     , m_endsSeen(metrics.counter("cwl_cell_reports_total", "Reports of workers."))
     , m_takeovers(metrics.counter("cwl_cell_takeovers_total", "Times this member became owner."))
@@ -275,37 +276,51 @@
 }
 
 // A member at the last owner's address that does not hold its epoch proves that it has stopped.
+// Asked until there is an answer: the process may be starting again.
 void Owner::askPredecessor(const OwnerRow &previous)
 {
-    auto client = http::Client::create(
-            m_context, {.address = previous.address, .traffic = Traffic::RpcControl});
+    auto client = http::Client::create(m_context, {.address = previous.address,
+                                                   .connectTimeout = predecessorTimeout,
+                                                   .traffic = Traffic::RpcControl});
     if (!client.ok()) {
         log::warn("predecessor_address_invalid", {{"error", client.status()}});
         return;
     }
     m_predecessor = *std::move(client);
+    sendToPredecessor(previous.epoch);
+}
+
+void Owner::sendToPredecessor(Epoch epoch)
+{
     http::Request request;
     request.path = "/cell/owner";
-    const TimePoint askedAt = BootClock::now();
-    m_predecessor->send(
-            std::move(request), askedAt + predecessorTimeout,
-            [this, alive = m_alive, term = m_term,
-             epoch = previous.epoch](absl::StatusOr<http::Response> response) {
-                if (!*alive || term != m_term)
-                    return;
-                const auto value = response.ok() ? parseJson(response->body)
-                                                 : absl::StatusOr<Json::Value>(response.status());
-                if (!value.ok()) {
-                    log::info("predecessor_silent", {{"error", value.status()}});
-                    return;
-                }
-                if ((*value)["epoch"].asInt64() == epoch.value())
-                    return;
-                const auto lease = Duration(
-                        int64_t(double(m_options.dispatcher.lease.count()) * workerClockMargin));
-                m_dispatcher.setPredecessorEnds(BootClock::now() + lease);
-                log::info("predecessor_stopped", {{"epoch", epoch.value()}});
-            });
+    m_predecessor->send(std::move(request), BootClock::now() + predecessorTimeout,
+                        [this, alive = m_alive, term = m_term,
+                         epoch](const absl::StatusOr<http::Response> &response) {
+                            if (*alive && term == m_term)
+                                onPredecessor(epoch, response);
+                        });
+}
+
+void Owner::onPredecessor(Epoch epoch, const absl::StatusOr<http::Response> &response)
+{
+    const auto value = response.ok() ? parseJson(response->body)
+                                     : absl::StatusOr<Json::Value>(response.status());
+    const bool hasStopped = value.ok() && response->status == 200
+            && (*value)["epoch"].asInt64() != epoch.value();
+    if (!hasStopped) {
+        log::info("predecessor_silent",
+                  {{"epoch", epoch.value()}, {"error", value.ok() ? absl::OkStatus() : value.status()}});
+        after(m_predecessorTimer, predecessorInterval, [this, term = m_term, epoch] {
+            if (term == m_term && m_ownership.isOwner())
+                sendToPredecessor(epoch);
+        });
+        return;
+    }
+    const auto lease =
+            Duration(int64_t(double(m_options.dispatcher.lease.count()) * workerClockMargin));
+    m_dispatcher.setPredecessorEnds(BootClock::now() + lease);
+    log::info("predecessor_stopped", {{"epoch", epoch.value()}});
 }
 
 void Owner::retryLoad()
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -36,6 +36,7 @@
 constexpr Duration membersInterval = seconds(2);         // between looks at the members' table
 constexpr Duration expiryInterval = seconds(5);          // between removals of old jobs
 constexpr Duration predecessorTimeout = milliseconds(500);
+constexpr Duration predecessorInterval = milliseconds(300); // between questions to the last owner
 constexpr double workerClockMargin = 1.03;               // a worker's clock is up to 2% slow
 
 struct OwnerOptions
@@ -81,6 +82,8 @@
     void lost(const char *reason);
     void load();
     void askPredecessor(const OwnerRow &previous);
+    void sendToPredecessor(Epoch epoch);
+    void onPredecessor(Epoch epoch, const absl::StatusOr<http::Response> &response);
     void probeOwner();
     void onProbed(Epoch epoch, const absl::StatusOr<http::Response> &response);
     void onProgress(const Page &page);
@@ -148,6 +151,7 @@
     Timer m_membersTimer;
     Timer m_announceTimer;
     Timer m_probeTimer;
+    Timer m_predecessorTimer;
     bool m_isAnnounced = false;
 
     metrics::Counter &m_startsSent;
