--- a/src/cell/acceptance.cpp
+++ b/src/cell/acceptance.cpp
@@ -46,8 +46,8 @@
     const TimePoint now = BootClock::now();
     for (size_t index = 0; index < part.entries.size();) {
         const std::shared_ptr<Entry> entry = part.entries[index];
-        const bool isOver = entry->mayBeStored ? now >= entry->deadline - answerMargin
-                                               : now >= entry->patience;
+        const bool isOver =
+                entry->mayBeStored ? now >= entry->deadline - answerMargin : now >= entry->patience;
         if (!isOver) {
             ++index;
             continue;
@@ -101,23 +101,22 @@
         flush(name);
         return;
     }
-    const bool isUnknown =
-            !result.ok() && failureOf(result.status()) != Failure::StoreUnavailable;
+    const bool isUnknown = !result.ok() && failureOf(result.status()) != Failure::StoreUnavailable;
     if (!result.ok())
-        log::info("accept_write_failed", {{"part", name},
-                                          {"entries", batch.size()},
-                                          {"job", batch.front()->row.key},
-                                          {"error", result.status()}});
+        log::info("accept_write_failed",
+                  {{"part", name},
+                   {"entries", batch.size()},
+                   {"job", batch.front()->row.key},
+                   {"error", result.status()}});
     std::vector<std::shared_ptr<Entry>> again;
     for (const std::shared_ptr<Entry> &entry : batch) {
         const bool exists = result.ok()
-                && std::any_of(result->current.begin(), result->current.end(),
-                               [&](const Row &row) {
-                                   return row.key == entry->row.key && row.revision.value() > 0;
-                               });
+                && std::any_of(result->current.begin(), result->current.end(), [&](const Row &row) {
+                                return row.key == entry->row.key && row.revision.value() > 0;
+                            });
         entry->mayBeStored = entry->mayBeStored || isUnknown;
         if (exists)
-            finish(entry, Stored::Yes);
+            finish(entry, Stored::Before);
         else
             again.push_back(entry);
     }
--- a/src/cell/acceptance.h
+++ b/src/cell/acceptance.h
@@ -21,16 +21,17 @@
 
 namespace cwl::cell {
 
-constexpr size_t maxAcceptBatch = 40;                   // the store takes 100 entries a call
-constexpr size_t maxAcceptBytes = 500000;               // and 1 MB, encoded
-constexpr size_t maxWaitingEntries = 2000;              // further ones are refused
-constexpr Duration acceptAttempt = milliseconds(700);   // for one answer of the store
-constexpr Duration acceptPause = milliseconds(60);      // between attempts
-constexpr Duration acceptPatience = milliseconds(900);  // a certain failure is told after it
-constexpr Duration answerMargin = milliseconds(120);    // for the answer to reach the client
+constexpr size_t maxAcceptBatch = 40;                  // the store takes 100 entries a call
+constexpr size_t maxAcceptBytes = 500000;              // and 1 MB, encoded
+constexpr size_t maxWaitingEntries = 2000;             // further ones are refused
+constexpr Duration acceptAttempt = milliseconds(700);  // for one answer of the store
+constexpr Duration acceptPause = milliseconds(60);     // between attempts
+constexpr Duration acceptPatience = milliseconds(900); // a certain failure is told after it
+constexpr Duration answerMargin = milliseconds(120);   // for the answer to reach the client
 
 enum class Stored {
-    Yes,     // by this entry or an earlier one of the same key
+    Yes,     // by this entry
+    Before,  // by an earlier one of the same key, or by an attempt whose answer was lost
     No,      // and it never will be
     Unknown, // it may be, also later
 };
--- a/src/cell/advicerouter.cpp
+++ b/src/cell/advicerouter.cpp
@@ -77,11 +77,10 @@
     for (const std::string &address : addresses) {
         if (m_callers.contains(address))
             continue;
-        auto client = http::Client::create(
-                m_context, {.address = address, .traffic = Traffic::RpcControl});
+        auto client = http::Client::create(m_context,
+                                           {.address = address, .traffic = Traffic::RpcControl});
         if (!client.ok()) {
-            log::warn("member_address_invalid",
-                      {{"address", address}, {"error", client.status()}});
+            log::warn("member_address_invalid", {{"address", address}, {"error", client.status()}});
             continue;
         }
         auto caller = std::make_shared<Caller>();
@@ -93,8 +92,8 @@
 
 void AdviceRouter::ask(const jobs::AdviceQuery &query, AdviceService::Callback callback)
 {
-    m_waiting.emplace(query.priority, Question{query, BootClock::now() + adviceQueueLimit,
-                                               std::move(callback)});
+    m_waiting.emplace(query.priority,
+                      Question{query, BootClock::now() + adviceQueueLimit, std::move(callback)});
     serve();
 }
 
--- a/src/cell/advicerouter.h
+++ b/src/cell/advicerouter.h
@@ -16,11 +16,11 @@
 
 namespace cwl::cell {
 
-constexpr Duration adviceQueueLimit = milliseconds(1200);   // of a question that waits for a caller
-constexpr Duration shortQuestion = milliseconds(60);        // a caller takes two of these at once
-constexpr size_t callersKeptForShort = 2;                   // which long questions do not use
-constexpr Duration adviceSlack = milliseconds(1200);        // beyond the expected time
-constexpr Duration callerPause = seconds(2);                // after a failure of a caller
+constexpr Duration adviceQueueLimit = milliseconds(1200); // of a question that waits for a caller
+constexpr Duration shortQuestion = milliseconds(60);      // a caller takes two of these at once
+constexpr size_t callersKeptForShort = 2;                 // which long questions do not use
+constexpr Duration adviceSlack = milliseconds(1200);      // beyond the expected time
+constexpr Duration callerPause = seconds(2);              // after a failure of a caller
 
 // Bodies of POST /cell/advise between members.
 std::string encodeAdviceQuestion(const std::string &step, const std::vector<WorkerId> &workers);
--- a/src/cell/entry.cpp
+++ b/src/cell/entry.cpp
@@ -8,10 +8,21 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace cwl::cell {
 
+namespace {
+
+const char *storedName(Stored stored)
+{
+    constexpr std::array names = {"yes", "before", "no", "unknown"};
+    return names[size_t(stored)];
+}
+
+} // namespace
+
 Entry::Entry(boost::asio::io_context &context, TableStore &store, std::string member,
              LocalOwner local, metrics::Registry &metrics)
     : m_context(context)
@@ -22,7 +33,8 @@
     , m_accepted(metrics.counter("cwl_cell_jobs_accepted_total", "Jobs stored."))
     , m_refused(metrics.counter("cwl_cell_jobs_refused_total", "Jobs certainly not stored."))
     , m_unknown(metrics.counter("cwl_cell_jobs_unknown_total", "Jobs that may be stored."))
-    , m_acceptTime(metrics.histogram("cwl_cell_accept_seconds", "From a job's arrival to its answer."))
+    , m_acceptTime(
+              metrics.histogram("cwl_cell_accept_seconds", "From a job's arrival to its answer."))
 {
 }
 
@@ -40,10 +52,11 @@
     m_ownerClient.reset();
     if (owner.address.empty())
         return;
-    auto client = http::Client::create(m_context, {.address = owner.address,
-                                                   .maxConnections = 6,
-                                                   .connectTimeout = milliseconds(300),
-                                                   .traffic = Traffic::RpcControl});
+    auto client = http::Client::create(m_context,
+                                       {.address = owner.address,
+                                        .maxConnections = 6,
+                                        .connectTimeout = milliseconds(300),
+                                        .traffic = Traffic::RpcControl});
     if (!client.ok()) {
         log::warn("owner_address_invalid", {{"error", client.status()}});
         return;
@@ -76,35 +89,61 @@
         callback(Answer::Refused);
         return;
     }
+    const std::string content = row.value;
     m_acceptance.put(std::move(row), deadline,
-                     [this, id, began, queue = spec.queue.name,
+                     [this, id, began, content, queue = spec.queue.name,
                       callback = std::move(callback)](Stored stored) {
                          const Duration time = BootClock::now() - began;
                          m_acceptTime.observe(time);
-                         log::info("job_submitted", {{"job", id.value()},
-                                                     {"queue", queue},
-                                                     {"stored", stored == Stored::Yes ? "yes"
-                                                              : stored == Stored::No
-                                                                      ? "no"
-                                                                      : "unknown"},
-                                                     {"time", time}});
-                         switch (stored) {
-                         case Stored::Yes:
-                             m_accepted.add();
-                             callback(Answer::Accepted);
-                             return;
-                         case Stored::No:
-                             m_refused.add();
-                             callback(Answer::Refused);
-                             return;
-                         case Stored::Unknown:
-                             m_unknown.add();
-                             callback(Answer::Unknown);
-                             return;
-                         }
+                         log::info("job_submitted",
+                                   {{"job", id.value()},
+                                    {"queue", queue},
+                                    {"stored", storedName(stored)},
+                                    {"time", time}});
+                         if (stored == Stored::Yes)
+                             tellOwner(content);
+                         callback(countedAnswer(stored));
                      });
 }
 
+Answer Entry::countedAnswer(Stored stored)
+{
+    switch (stored) {
+    case Stored::Yes:
+    case Stored::Before:
+        m_accepted.add();
+        return Answer::Accepted;
+    case Stored::No:
+        m_refused.add();
+        return Answer::Refused;
+    case Stored::Unknown:
+        break;
+    }
+    m_unknown.add();
+    return Answer::Unknown;
+}
+
+// The store's feed tells the owner of every job; this is sooner, above all while the feed is
+// silent. Nothing depends on its arrival.
+void Entry::tellOwner(const std::string &row)
+{
+    if (m_owner.holder == m_member) {
+        m_local.accepted(row);
+        return;
+    }
+    if (!m_ownerClient)
+        return;
+    http::Request request;
+    request.method = "POST";
+    request.path = "/cell/accepted";
+    request.body = row;
+    m_ownerClient->send(std::move(request), BootClock::now() + ownerTimeout,
+                        [](const absl::StatusOr<http::Response> &response) {
+                            if (!response.ok())
+                                log::debug("owner_not_told", {{"error", response.status()}});
+                        });
+}
+
 void Entry::cancel(const JobId &id, TimePoint deadline, std::function<void(Answer)> callback)
 {
     readJob(id, deadline,
@@ -116,8 +155,9 @@
                 Row row = {jobsTable, jobPart(id), id.value() + cancelSuffix, "{}"};
                 m_acceptance.put(std::move(row), deadline, [id, callback](Stored stored) {
                     log::info("cancel_submitted",
-                              {{"job", id.value()}, {"stored", stored == Stored::Yes}});
-                    callback(stored == Stored::Yes ? Answer::Accepted : Answer::Unknown);
+                              {{"job", id.value()}, {"stored", storedName(stored)}});
+                    const bool isStored = stored == Stored::Yes || stored == Stored::Before;
+                    callback(isStored ? Answer::Accepted : Answer::Unknown);
                 });
             });
 }
@@ -125,7 +165,9 @@
 void Entry::readJob(const JobId &id, TimePoint deadline,
                     std::function<void(absl::StatusOr<bool>)> callback)
 {
-    m_store.read({.table = jobsTable, .part = jobPart(id), .from = id.value(),
+    m_store.read({.table = jobsTable,
+                  .part = jobPart(id),
+                  .from = id.value(),
                   .until = id.value() + "\x01"},
                  std::min(deadline, BootClock::now() + storeReadTimeout),
                  [callback = std::move(callback)](const absl::StatusOr<Page> &page) {
@@ -149,27 +191,27 @@
     request.path = path;
     request.query = query;
     const TimePoint limit = std::min(deadline, BootClock::now() + ownerTimeout);
-    m_ownerClient->send(
-            std::move(request), limit,
-            [client = m_ownerClient, context = &m_context,
-             callback = std::move(callback)](absl::StatusOr<http::Response> response) {
-                std::optional<Json::Value> value;
-                if (response.ok() && response->status == 200) {
-                    absl::StatusOr<Json::Value> parsed = parseJson(response->body);
-                    if (parsed.ok())
-                        value = *std::move(parsed);
-                }
-                if (!value)
-                    log::debug("owner_unanswered", {});
-                // The client may be replaced meanwhile: it must not end inside its own callback.
-                boost::asio::post(*context, [client, callback, value] { callback(value); });
-            });
+    m_ownerClient->send(std::move(request), limit,
+                        [client = m_ownerClient, context = &m_context,
+                         callback = std::move(callback)](absl::StatusOr<http::Response> response) {
+                            std::optional<Json::Value> value;
+                            if (response.ok() && response->status == 200) {
+                                absl::StatusOr<Json::Value> parsed = parseJson(response->body);
+                                if (parsed.ok())
+                                    value = *std::move(parsed);
+                            }
+                            if (!value)
+                                log::debug("owner_unanswered", {});
+                            // The client may be replaced meanwhile: it must not end inside its own
+                            // callback.
+                            boost::asio::post(*context,
+                                              [client, callback, value] { callback(value); });
+                        });
 }
 
 void Entry::state(const JobId &id, TimePoint deadline, std::function<void(StateAnswer)> callback)
 {
-    const auto onAnswer = [this, id, deadline,
-                           callback](const std::optional<StateAnswer> &answer) {
+    const auto onAnswer = [this, id, deadline, callback](const std::optional<StateAnswer> &answer) {
         if (answer && answer->answer == Answer::Found)
             callback(*answer);
         else // the owner may not have heard of the job yet, or there is none
@@ -197,36 +239,40 @@
 void Entry::readState(const JobId &id, TimePoint deadline,
                       std::function<void(StateAnswer)> callback)
 {
-    readJob(id, deadline, [this, id, deadline,
-                           callback = std::move(callback)](absl::StatusOr<bool> exists) {
-        if (!exists.ok()) {
-            log::info("state_unavailable", {{"job", id.value()}, {"error", exists.status()}});
-            callback({Answer::Unavailable, {}});
-            return;
-        }
-        if (!*exists) {
-            callback({Answer::NotFound, {}});
-            return;
-        }
-        m_store.read({.table = progressTable, .part = ownerPart, .from = id.value(),
-                      .until = id.value() + "\x01"},
-                     std::min(deadline, BootClock::now() + storeReadTimeout),
-                     [id, callback](const absl::StatusOr<Page> &page) {
-                         if (!page.ok()) {
-                             log::info("state_unavailable",
-                                       {{"job", id.value()}, {"error", page.status()}});
-                             callback({Answer::Unavailable, {}});
-                             return;
-                         }
-                         StateAnswer answer = {Answer::Found, jobs::JobState::Queued};
-                         if (!page->rows.empty()) {
-                             const auto progress = jobs::decodeProgress(page->rows[0].value);
-                             answer.state =
-                                     progress.ok() ? progress->state : jobs::JobState::Running;
-                         }
-                         callback(answer);
-                     });
-    });
+    readJob(id, deadline,
+            [this, id, deadline, callback = std::move(callback)](absl::StatusOr<bool> exists) {
+                if (!exists.ok()) {
+                    log::info("state_unavailable",
+                              {{"job", id.value()}, {"error", exists.status()}});
+                    callback({Answer::Unavailable, {}});
+                    return;
+                }
+                if (!*exists) {
+                    callback({Answer::NotFound, {}});
+                    return;
+                }
+                m_store.read({.table = progressTable,
+                              .part = ownerPart,
+                              .from = id.value(),
+                              .until = id.value() + "\x01"},
+                             std::min(deadline, BootClock::now() + storeReadTimeout),
+                             [id, callback](const absl::StatusOr<Page> &page) {
+                                 if (!page.ok()) {
+                                     log::info("state_unavailable",
+                                               {{"job", id.value()}, {"error", page.status()}});
+                                     callback({Answer::Unavailable, {}});
+                                     return;
+                                 }
+                                 StateAnswer answer = {Answer::Found, jobs::JobState::Queued};
+                                 if (!page->rows.empty()) {
+                                     const auto progress =
+                                             jobs::decodeProgress(page->rows[0].value);
+                                     answer.state = progress.ok() ? progress->state
+                                                                  : jobs::JobState::Running;
+                                 }
+                                 callback(answer);
+                             });
+            });
 }
 
 void Entry::onCounts(std::optional<Json::Value> counts)
--- a/src/cell/entry.h
+++ b/src/cell/entry.h
@@ -22,7 +22,7 @@
 
 // Section: limits
 
-constexpr Duration ownerTimeout = milliseconds(350);   // of a question to the owner
+constexpr Duration ownerTimeout = milliseconds(350); // of a question to the owner
 constexpr Duration storeReadTimeout = milliseconds(900);
 constexpr Duration retryAfterRefusal = milliseconds(500); // told to refused clients
 constexpr Duration waitingCountAge = milliseconds(1500);  // of a count that is told again
@@ -55,13 +55,14 @@
 {
     std::function<void(JobId, std::function<void(std::optional<StateAnswer>)>)> state;
     std::function<void(std::function<void(std::optional<Json::Value>)>)> waiting;
+    std::function<void(std::string)> accepted; // a job's row, once it is stored
 };
 
 class Entry
 {
 public:
-    Entry(boost::asio::io_context &context, TableStore &store, std::string member,
-          LocalOwner local, metrics::Registry &metrics);
+    Entry(boost::asio::io_context &context, TableStore &store, std::string member, LocalOwner local,
+          metrics::Registry &metrics);
 
     // Section: news from the control thread; called on the traffic thread
 
@@ -82,12 +83,13 @@
                       std::function<void(CountAnswer)> callback);
 
 private:
-    void readState(const JobId &id, TimePoint deadline,
-                   std::function<void(StateAnswer)> callback);
+    void readState(const JobId &id, TimePoint deadline, std::function<void(StateAnswer)> callback);
     void readJob(const JobId &id, TimePoint deadline,
                  std::function<void(absl::StatusOr<bool>)> callback);
     void askOwner(const std::string &path, const std::string &query, TimePoint deadline,
                   std::function<void(std::optional<Json::Value>)> callback);
+    Answer countedAnswer(Stored stored);
+    void tellOwner(const std::string &row);
     void onCounts(std::optional<Json::Value> counts);
 
     boost::asio::io_context &m_context;
--- a/src/cell/member.cpp
+++ b/src/cell/member.cpp
@@ -74,6 +74,10 @@
             answer(counts);
         });
     };
+    local.accepted = [this](std::string row) {
+        asio::post(m_node.controlContext(),
+                   [this, row = std::move(row)] { m_owner->noteAccepted(row); });
+    };
     m_entry = std::make_unique<Entry>(node.trafficContext(), *m_links.trafficStore, member,
                                       std::move(local), node.metrics());
     m_owner->configChanged = [this](const jobs::CellConfig &config) {
@@ -141,6 +145,13 @@
             return m_owner->waitingByQueue();
         });
     });
+    node.route("/cell/accepted",
+               [this](const http::Request &request, const http::Responder &respond) {
+                   answerOnControl(respond, [this, row = request.body]() {
+                       m_owner->noteAccepted(row);
+                       return std::optional(Json::Value(Json::objectValue));
+                   });
+               });
     node.route("/cell/owner", [this](const http::Request &, const http::Responder &respond) {
         answerOnControl(respond, [this]() -> std::optional<Json::Value> {
             Json::Value value;
--- a/src/cell/owner.cpp
+++ b/src/cell/owner.cpp
@@ -36,16 +36,16 @@
     , m_store(store)
     , m_gateway(workers)
     , m_reader(reader)
-    , m_ownership(context, store, options.member, options.address,
-                  {.won = [this](Epoch epoch, const OwnerRow &previous) { won(epoch, previous); },
-                   .lost = [this](const char *reason) { lost(reason); },
-                   .changed =
-                           [this](const OwnerRow &owner) {
-                               if (ownerChanged)
-                                   ownerChanged(owner);
-                           },
-                   .confirmed =
-                           [this](TimePoint sentAt) { m_dispatcher.confirmOwnership(sentAt); }})
+    , m_ownership(
+              context, store, options.member, options.address,
+              {.won = [this](Epoch epoch, const OwnerRow &previous) { won(epoch, previous); },
+               .lost = [this](const char *reason) { lost(reason); },
+               .changed =
+                       [this](const OwnerRow &owner) {
+                           if (ownerChanged)
+                               ownerChanged(owner);
+                       },
+               .confirmed = [this](TimePoint sentAt) { m_dispatcher.confirmOwnership(sentAt); }})
     , m_dispatcher(options.dispatcher)
     , m_advice(context, advice)
     , m_configFollower(context, store, {.table = reader.configTable},
@@ -78,10 +78,11 @@
 void Owner::after(Timer &timer, Duration pause, std::function<void()> action)
 {
     timer.expires_after(pause);
-    timer.async_wait([alive = m_alive, action = std::move(action)](boost::system::error_code error) {
-        if (!error && *alive)
-            action();
-    });
+    timer.async_wait(
+            [alive = m_alive, action = std::move(action)](boost::system::error_code error) {
+                if (!error && *alive)
+                    action();
+            });
 }
 
 void Owner::start()
@@ -153,16 +154,17 @@
             continue;
         const absl::StatusOr<jobs::CellConfig> config = m_reader.config(row.value);
         if (!config.ok()) {
-            log::error("config_unreadable", {{"revision", row.revision.value()},
-                                             {"error", config.status()}});
+            log::error("config_unreadable",
+                       {{"revision", row.revision.value()}, {"error", config.status()}});
             continue;
         }
         if (config->version <= m_config.version)
             continue;
-        log::info("config_in_force", {{"version", config->version},
-                                      {"previous", m_config.version},
-                                      {"queues", config->queues.size()},
-                                      {"revision", row.revision.value()}});
+        log::info("config_in_force",
+                  {{"version", config->version},
+                   {"previous", m_config.version},
+                   {"queues", config->queues.size()},
+                   {"revision", row.revision.value()}});
         m_config = *config;
         m_dispatcher.setConfig(m_config);
         if (configChanged)
@@ -215,8 +217,8 @@
     m_takeovers.add();
     const TimePoint now = BootClock::now();
     m_termBegan = now;
-    const auto lease = Duration(
-            int64_t(double(m_options.dispatcher.lease.count()) * workerClockMargin));
+    const auto lease =
+            Duration(int64_t(double(m_options.dispatcher.lease.count()) * workerClockMargin));
     // What the last owner started may run until it has noticed that it is deposed, and a lease
     // longer. An owner that resigned, or of an empty store, has nothing left to notice.
     Duration bound = lease + maxStoreAbsence;
@@ -243,10 +245,11 @@
         return;
     }
     if (m_probeAddress != owner.address) {
-        auto client = http::Client::create(m_context, {.address = owner.address,
-                                                       .maxConnections = 1,
-                                                       .connectTimeout = probeTimeout,
-                                                       .traffic = Traffic::RpcControl});
+        auto client = http::Client::create(m_context,
+                                           {.address = owner.address,
+                                            .maxConnections = 1,
+                                            .connectTimeout = probeTimeout,
+                                            .traffic = Traffic::RpcControl});
         if (!client.ok())
             return;
         m_probe = *std::move(client);
@@ -279,9 +282,10 @@
 // Asked until there is an answer: the process may be starting again.
 void Owner::askPredecessor(const OwnerRow &previous)
 {
-    auto client = http::Client::create(m_context, {.address = previous.address,
-                                                   .connectTimeout = predecessorTimeout,
-                                                   .traffic = Traffic::RpcControl});
+    auto client = http::Client::create(m_context,
+                                       {.address = previous.address,
+                                        .connectTimeout = predecessorTimeout,
+                                        .traffic = Traffic::RpcControl});
     if (!client.ok()) {
         log::warn("predecessor_address_invalid", {{"error", client.status()}});
         return;
@@ -306,11 +310,12 @@
 {
     const auto value = response.ok() ? parseJson(response->body)
                                      : absl::StatusOr<Json::Value>(response.status());
-    const bool hasStopped = value.ok() && response->status == 200
-            && (*value)["epoch"].asInt64() != epoch.value();
+    const bool hasStopped =
+            value.ok() && response->status == 200 && (*value)["epoch"].asInt64() != epoch.value();
     if (!hasStopped) {
         log::info("predecessor_silent",
-                  {{"epoch", epoch.value()}, {"error", value.ok() ? absl::OkStatus() : value.status()}});
+                  {{"epoch", epoch.value()},
+                   {"error", value.ok() ? absl::OkStatus() : value.status()}});
         after(m_predecessorTimer, predecessorInterval, [this, term = m_term, epoch] {
             if (term == m_term && m_ownership.isOwner())
                 sendToPredecessor(epoch);
@@ -434,10 +439,11 @@
         m_dispatcher.unlistWorker(entry.id, now);
         watch(entry.id);
     }
-    log::info("jobs_loaded", {{"rows", rows.size()},
-                              {"workers", m_usedWorkers.size()},
-                              {"epoch", m_ownership.epoch().value()},
-                              {"time", now - m_termBegan}});
+    log::info("jobs_loaded",
+              {{"rows", rows.size()},
+               {"workers", m_usedWorkers.size()},
+               {"epoch", m_ownership.epoch().value()},
+               {"time", now - m_termBegan}});
     m_recoveryTime.observe(now - m_termBegan);
     m_workersFollower = std::make_unique<TableFollower>(
             m_context, m_store, FollowOptions{.table = m_reader.workersTable},
@@ -457,15 +463,27 @@
             m_dispatcher.cancelJob(JobId(row.key.substr(0, row.key.find('!'))), now);
             continue;
         }
-        if (m_dispatcher.jobState(JobId(row.key)))
-            continue;
-        absl::StatusOr<jobs::JobSpec> spec = jobs::decodeJob(row.value);
-        if (!spec.ok()) {
-            log::error("job_unreadable", {{"job", row.key}, {"error", spec.status()}});
-            continue;
-        }
-        m_dispatcher.addJob(*std::move(spec), now);
+        if (!m_dispatcher.jobState(JobId(row.key)))
+            addJob(row.value, row.key.c_str());
+    }
+    scheduleDecision();
+}
+
+void Owner::addJob(const std::string &row, const char *source)
+{
+    absl::StatusOr<jobs::JobSpec> spec = jobs::decodeJob(row);
+    if (!spec.ok()) {
+        log::error("job_unreadable", {{"source", source}, {"error", spec.status()}});
+        return;
     }
+    m_dispatcher.addJob(*std::move(spec), BootClock::now());
+}
+
+void Owner::noteAccepted(const std::string &row)
+{
+    if (!m_isActive)
+        return;
+    addJob(row, "member");
     scheduleDecision();
 }
 
@@ -578,17 +596,17 @@
 {
     m_startsSent.add();
     const TimePoint sentAt = BootClock::now();
-    m_gateway.start(order, m_ownership.epoch(), sentAt + jobs::orderTimeout,
-                    [this, alive = m_alive, term = m_term, order,
-                     sentAt](jobs::OrderAnswer answer) {
-                        if (!*alive || term != m_term || isFenced(answer))
-                            return;
-                        const TimePoint now = BootClock::now();
-                        m_orderTime.observe(now - sentAt);
-                        m_dispatcher.onStartAnswered(order, answer, now);
-                        if (answer != jobs::OrderAnswer::Accepted)
-                            scheduleDecision();
-                    });
+    m_gateway.start(
+            order, m_ownership.epoch(), sentAt + jobs::orderTimeout,
+            [this, alive = m_alive, term = m_term, order, sentAt](jobs::OrderAnswer answer) {
+                if (!*alive || term != m_term || isFenced(answer))
+                    return;
+                const TimePoint now = BootClock::now();
+                m_orderTime.observe(now - sentAt);
+                m_dispatcher.onStartAnswered(order, answer, now);
+                if (answer != jobs::OrderAnswer::Accepted)
+                    scheduleDecision();
+            });
 }
 
 void Owner::sendStop(const jobs::StopOrder &order)
@@ -608,26 +626,27 @@
                        if (!*alive || term != m_term || isFenced(answer))
                            return;
                        if (answer != jobs::OrderAnswer::Accepted)
-                           log::info("pace_refused", {{"task", order.task},
-                                                      {"answer", orderAnswerName(answer)}});
+                           log::info("pace_refused",
+                                     {{"task", order.task}, {"answer", orderAnswerName(answer)}});
                    });
 }
 
 void Owner::sendQuery(const jobs::AdviceQuery &query)
 {
-    m_advice.ask(query, [this, alive = m_alive, term = m_term,
-                         query](const absl::StatusOr<std::vector<jobs::AllowedWorker>> &allowed) {
-        if (!*alive || term != m_term)
-            return;
-        if (!allowed.ok()) {
-            log::info("advice_failed",
-                      {{"step", query.step.stepText()}, {"error", allowed.status()}});
-            m_dispatcher.onAdviceFailed(query, BootClock::now());
-            return;
-        }
-        m_dispatcher.onAdvice(query, *allowed, BootClock::now());
-        scheduleDecision();
-    });
+    m_advice.ask(query,
+                 [this, alive = m_alive, term = m_term,
+                  query](const absl::StatusOr<std::vector<jobs::AllowedWorker>> &allowed) {
+                     if (!*alive || term != m_term)
+                         return;
+                     if (!allowed.ok()) {
+                         log::info("advice_failed",
+                                   {{"step", query.step.stepText()}, {"error", allowed.status()}});
+                         m_dispatcher.onAdviceFailed(query, BootClock::now());
+                         return;
+                     }
+                     m_dispatcher.onAdvice(query, *allowed, BootClock::now());
+                     scheduleDecision();
+                 });
 }
 
 // Section: storing
@@ -756,10 +775,11 @@
     if (result.answer != jobs::OrderAnswer::Accepted) {
         m_dispatcher.onLookFailed(entry->id);
         if (!std::exchange(entry->isUnreachable, true))
-            log::info("worker_unreachable", {{"worker", entry->id.value()},
-                                             {"answer", orderAnswerName(result.answer)},
-                                             {"report_age", now - worker->lastReport},
-                                             {"runs", worker->runs.size()}});
+            log::info("worker_unreachable",
+                      {{"worker", entry->id.value()},
+                       {"answer", orderAnswerName(result.answer)},
+                       {"report_age", now - worker->lastReport},
+                       {"runs", worker->runs.size()}});
         after(entry->timer, watchRetryPause, [this, entry] { sendWatch(entry); });
         return;
     }
@@ -785,8 +805,7 @@
     std::vector<std::shared_ptr<Watch>> ready;
     for (const auto &[id, entry] : m_watches) {
         const jobs::Worker *const worker = m_dispatcher.findWorker(entry->id);
-        if (entry->isWaitingForStore && worker
-            && worker->endsProcessed == worker->endsAcknowledged)
+        if (entry->isWaitingForStore && worker && worker->endsProcessed == worker->endsAcknowledged)
             ready.push_back(entry);
     }
     for (const std::shared_ptr<Watch> &entry : ready) {
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -37,7 +37,7 @@
 constexpr Duration expiryInterval = seconds(5);          // between removals of old jobs
 constexpr Duration predecessorTimeout = milliseconds(500);
 constexpr Duration predecessorInterval = milliseconds(300); // between questions to the last owner
-constexpr double workerClockMargin = 1.03;               // a worker's clock is up to 2% slow
+constexpr double workerClockMargin = 1.03;                  // a worker's clock is up to 2% slow
 
 struct OwnerOptions
 {
@@ -62,6 +62,9 @@
     std::function<void(const jobs::CellConfig &config)> configChanged;
     std::function<void(const OwnerRow &owner)> ownerChanged;
 
+    // A job that a member has just stored: sooner than by the store's feed.
+    void noteAccepted(const std::string &row);
+
     // Section: questions, answered only while this member owns the cell and has loaded it
 
     bool isActive() const { return m_isActive; }
@@ -90,6 +93,7 @@
     void onOwnerRows(const Page &page);
     void onJobsSnapshot(std::vector<Row> rows);
     void onJobsChanged(const std::vector<Row> &rows);
+    void addJob(const std::string &row, const char *source);
     void onWorkers(const std::vector<Row> &rows, bool isSnapshot);
     void onConfig(const std::vector<Row> &rows);
     void announce();
--- a/src/cell/ownership.cpp
+++ b/src/cell/ownership.cpp
@@ -43,10 +43,11 @@
 void Ownership::after(Timer &timer, Duration pause, std::function<void()> action)
 {
     timer.expires_after(pause);
-    timer.async_wait([alive = m_alive, action = std::move(action)](boost::system::error_code error) {
-        if (!error && *alive)
-            action();
-    });
+    timer.async_wait(
+            [alive = m_alive, action = std::move(action)](boost::system::error_code error) {
+                if (!error && *alive)
+                    action();
+            });
 }
 
 void Ownership::start()
@@ -109,7 +110,8 @@
     const bool isHistoryLost = failureOf(status) == Failure::HistoryLost;
     if (!isHistoryLost && !std::exchange(m_isStoreLost, true))
         log::warn("store_lost", {{"table", leaseTable}, {"error", status}});
-    after(m_followTimer, isHistoryLost ? Duration::zero() : storeRetryPause, [this] { readLease(); });
+    after(m_followTimer, isHistoryLost ? Duration::zero() : storeRetryPause,
+          [this] { readLease(); });
 }
 
 void Ownership::onLease(const Row &row)
@@ -129,15 +131,16 @@
     const bool isNew = lease->epoch != m_owner.epoch || lease->holder != m_owner.holder;
     if (m_isOwner && lease->epoch > m_owner.epoch)
         lose("newer owner in the store");
-    const OwnerRow seen = *lease;
-    if (!m_isOwner)
-        m_owner = seen;
-    if (isNew && !m_isOwner) {
-        log::info("owner_seen", {{"epoch", seen.epoch.value()},
-                                 {"holder", seen.holder},
-                                 {"revision", row.revision.value()}});
-        m_events.changed(m_owner);
-    }
+    if (m_isOwner)
+        return;
+    m_owner = *lease;
+    if (!isNew)
+        return;
+    log::info("owner_seen",
+              {{"epoch", m_owner.epoch.value()},
+               {"holder", m_owner.holder},
+               {"revision", row.revision.value()}});
+    m_events.changed(m_owner);
 }
 
 // Section: takeover
@@ -155,9 +158,10 @@
     if (m_isOwner || epoch != m_owner.epoch)
         return;
     if (m_endedEpoch != epoch)
-        log::info("owner_ended", {{"epoch", epoch.value()},
-                                  {"holder", m_owner.holder},
-                                  {"silence", BootClock::now() - m_leaseChanged}});
+        log::info("owner_ended",
+                  {{"epoch", epoch.value()},
+                   {"holder", m_owner.holder},
+                   {"silence", BootClock::now() - m_leaseChanged}});
     m_endedEpoch = epoch;
     considerTakeover();
 }
@@ -183,7 +187,9 @@
         return;
     m_isTakingOver = true;
     const OwnerRow seen = m_owner;
-    m_store.read({.table = ownerTable, .part = ownerPart, .from = ownerKey,
+    m_store.read({.table = ownerTable,
+                  .part = ownerPart,
+                  .from = ownerKey,
                   .until = std::string(ownerKey) + "!"},
                  BootClock::now() + storeCallTimeout,
                  [this, alive = m_alive, seen](const absl::StatusOr<Page> &page) {
@@ -232,39 +238,38 @@
     transaction.writes = {{ownerTable, ownerPart, ownerKey, value},
                           {leaseTable, ownerPart, ownerKey, value}};
     const TimePoint sentAt = BootClock::now();
-    m_store.commit(
-            transaction, sentAt + storeCallTimeout,
-            [this, alive = m_alive, previous, next, sentAt,
-             revision](const absl::StatusOr<TransactionResult> &result) {
-                if (!*alive)
-                    return;
-                m_isTakingOver = false;
-                if (!result.ok()) {
-                    log::warn("takeover_failed",
-                              {{"epoch", next.epoch.value()}, {"error", result.status()}});
-                    if (failureOf(result.status()) == Failure::StoreOutcomeUnknown
-                        && BootClock::now() - m_lastAnswer < seconds(2))
-                        writeTakeover(previous, revision);
-                    return;
-                }
-                if (result->isCommitted) {
-                    m_lastCommit = sentAt;
-                    m_owner = next;
-                    win(previous, result->revision);
-                    return;
-                }
-                // An earlier attempt whose answer was lost may have taken effect.
-                for (const Row &row : result->current) {
-                    const absl::StatusOr<OwnerRow> current = decodeOwner(row.value);
-                    if (row.table == ownerTable && current.ok() && *current == next) {
-                        m_lastCommit = sentAt;
-                        m_owner = next;
-                        win(previous, row.revision);
-                        return;
-                    }
-                }
-                log::info("takeover_lost", {{"epoch", next.epoch.value()}});
-            });
+    m_store.commit(transaction, sentAt + storeCallTimeout,
+                   [this, alive = m_alive, previous, next, sentAt,
+                    revision](const absl::StatusOr<TransactionResult> &result) {
+                       if (!*alive)
+                           return;
+                       m_isTakingOver = false;
+                       if (!result.ok()) {
+                           log::warn("takeover_failed",
+                                     {{"epoch", next.epoch.value()}, {"error", result.status()}});
+                           if (failureOf(result.status()) == Failure::StoreOutcomeUnknown
+                               && BootClock::now() - m_lastAnswer < seconds(2))
+                               writeTakeover(previous, revision);
+                           return;
+                       }
+                       if (result->isCommitted) {
+                           m_lastCommit = sentAt;
+                           m_owner = next;
+                           win(previous, result->revision);
+                           return;
+                       }
+                       // An earlier attempt whose answer was lost may have taken effect.
+                       for (const Row &row : result->current) {
+                           const absl::StatusOr<OwnerRow> current = decodeOwner(row.value);
+                           if (row.table == ownerTable && current.ok() && *current == next) {
+                               m_lastCommit = sentAt;
+                               m_owner = next;
+                               win(previous, row.revision);
+                               return;
+                           }
+                       }
+                       log::info("takeover_lost", {{"epoch", next.epoch.value()}});
+                   });
 }
 
 void Ownership::win(const OwnerRow &previous, Revision revision)
@@ -273,9 +278,10 @@
     m_revision = revision;
     m_leaseChanged = BootClock::now();
     m_lastRenewal = m_lastCommit;
-    log::info("ownership_won", {{"epoch", m_owner.epoch.value()},
-                                {"previous_holder", previous.holder},
-                                {"revision", revision.value()}});
+    log::info("ownership_won",
+              {{"epoch", m_owner.epoch.value()},
+               {"previous_holder", previous.holder},
+               {"revision", revision.value()}});
     m_events.changed(m_owner);
     m_events.won(m_owner.epoch, previous);
     after(m_renewTimer, renewInterval, [this] { renew(); });
@@ -327,21 +333,22 @@
     if (!pending || !m_isOwner)
         return;
     pending->sentAt = BootClock::now();
-    m_store.commit(pending->transaction, pending->sentAt + storeCallTimeout,
-                   [this, alive = m_alive, pending](
-                           const absl::StatusOr<TransactionResult> &result) {
-                       if (*alive && m_pending == pending)
-                           onSent(pending, result);
-                   });
+    m_store.commit(
+            pending->transaction, pending->sentAt + storeCallTimeout,
+            [this, alive = m_alive, pending](const absl::StatusOr<TransactionResult> &result) {
+                if (*alive && m_pending == pending)
+                    onSent(pending, result);
+            });
 }
 
 void Ownership::onSent(const std::shared_ptr<Pending> &pending,
                        const absl::StatusOr<TransactionResult> &result)
 {
     if (!result.ok()) {
-        log::info("owner_write_failed", {{"number", pending->row.number},
-                                         {"rows", pending->transaction.writes.size()},
-                                         {"error", result.status()}});
+        log::info("owner_write_failed",
+                  {{"number", pending->row.number},
+                   {"rows", pending->transaction.writes.size()},
+                   {"error", result.status()}});
         after(m_sendTimer, storeRetryPause, [this] { send(); });
         return;
     }
@@ -380,8 +387,7 @@
         return;
     }
     if (m_pending) {
-        after(m_takeoverTimer, milliseconds(20),
-              [this, done = std::move(done)] { resign(done); });
+        after(m_takeoverTimer, milliseconds(20), [this, done = std::move(done)] { resign(done); });
         return;
     }
     m_isResigning = true;
--- a/src/cell/ownership.h
+++ b/src/cell/ownership.h
@@ -117,11 +117,11 @@
     Timer m_renewTimer;
     Timer m_sendTimer;
     std::mt19937_64 m_random;
-    OwnerRow m_owner = {};      // as last seen
-    Revision m_revision = {};   // of the owner's row, while this member owns
-    Revision m_leaseSeen = {};  // revision of the followed row
-    TimePoint m_leaseChanged;   // when the followed row was last seen to change
-    Epoch m_endedEpoch = {};    // whose process is known to have ended
+    OwnerRow m_owner = {};     // as last seen
+    Revision m_revision = {};  // of the owner's row, while this member owns
+    Revision m_leaseSeen = {}; // revision of the followed row
+    TimePoint m_leaseChanged;  // when the followed row was last seen to change
+    Epoch m_endedEpoch = {};   // whose process is known to have ended
     TimePoint m_lastAnswer;
     TimePoint m_lastCommit = {}; // send time of the last write that took effect
     TimePoint m_lastRenewal = {};
--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -26,9 +26,9 @@
     std::string table;
     std::string part; // rows of one part are written together
     std::string key;
-    std::string value = {};   // any bytes
-    Revision revision = {};   // 0: the row is absent
-    bool isDeleted = false;   // in a feed
+    std::string value = {}; // any bytes
+    Revision revision = {}; // 0: the row is absent
+    bool isDeleted = false; // in a feed
 };
 
 struct Transaction
@@ -42,8 +42,8 @@
 struct TransactionResult
 {
     bool isCommitted = false;
-    Revision revision = {};         // of the rows written
-    std::vector<Row> current = {};  // of the rows expected, where a condition did not hold
+    Revision revision = {};        // of the rows written
+    std::vector<Row> current = {}; // of the rows expected, where a condition did not hold
 };
 
 struct Range
--- a/src/cell/settings.cpp
+++ b/src/cell/settings.cpp
@@ -55,8 +55,8 @@
     settings.process.httpPort = uint16_t(reader.requiredInteger("membersPort", 1, maxPort));
     settings.process.platform = reader.requiredText("platform");
     settings.process.trafficThreads = 1;
-    settings.process.logLevel = reader.choice("logLevel", "info",
-                                              {"trace", "debug", "info", "warn", "error"});
+    settings.process.logLevel =
+            reader.choice("logLevel", "info", {"trace", "debug", "info", "warn", "error"});
     settings.callersAddress = reader.requiredText("callersAddress");
     settings.readinessAddress = reader.requiredText("readinessAddress");
     settings.adviceAddress = reader.text("adviceAddress", "");
--- a/src/cell/tables.h
+++ b/src/cell/tables.h
@@ -20,8 +20,8 @@
 constexpr const char *membersTable = "members";   // addresses of the members
 constexpr const char *ownerPart = "owner";        // part of all rows that the owner writes
 constexpr const char *ownerKey = "owner";
-constexpr const char *workersKey = "workers";     // in the owner's table: workers that it has used
-constexpr const char *cancelSuffix = "!cancel";   // follows the id in the key of a cancellation
+constexpr const char *workersKey = "workers";   // in the owner's table: workers that it has used
+constexpr const char *cancelSuffix = "!cancel"; // follows the id in the key of a cancellation
 
 // Jobs are spread over parts by their id: a part carries out its transactions one by one.
 constexpr size_t jobParts = 8;
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -97,9 +97,10 @@
     if (entry.isDraining && entry.remaining)
         worker->drainDeadline = now + *entry.remaining;
     if (beganDraining)
-        log::info("worker_draining", {{"worker", entry.id.value()},
-                                      {"remaining", entry.remaining.value_or(Duration::zero())},
-                                      {"runs", worker->runs.size()}});
+        log::info("worker_draining",
+                  {{"worker", entry.id.value()},
+                   {"remaining", entry.remaining.value_or(Duration::zero())},
+                   {"runs", worker->runs.size()}});
 }
 
 void Dispatcher::unlistWorker(const WorkerId &id, TimePoint now)
@@ -108,9 +109,10 @@
     if (worker == m_workers.end() || !worker->second->isListed)
         return;
     worker->second->isListed = false;
-    log::info("worker_unlisted", {{"worker", id.value()},
-                                  {"runs", worker->second->runs.size()},
-                                  {"lease_left", worker->second->leaseEnds - now}});
+    log::info("worker_unlisted",
+              {{"worker", id.value()},
+               {"runs", worker->second->runs.size()},
+               {"lease_left", worker->second->leaseEnds - now}});
 }
 
 std::vector<WorkerId> Dispatcher::knownWorkers() const
@@ -200,21 +202,21 @@
     const Duration objective = objectiveOf(job->spec);
     job->objective = now + objective;
     job->hopeless = now + lateFactor * objective;
-    log::info("job_known", {{"job", job->spec.id.value()},
-                            {"queue", job->spec.queue.name},
-                            {"steps", job->spec.steps.size()},
-                            {"tasks", job->spec.steps.empty() ? 0 : job->spec.steps[0].count},
-                            {"gang", !job->spec.steps.empty() && job->spec.steps[0].gang},
-                            {"accelerators", job->spec.steps.empty()
-                                     ? 0
-                                     : job->spec.steps[0].each.accelerators.value()},
-                            {"objective", objective}});
+    log::info("job_known",
+              {{"job", job->spec.id.value()},
+               {"queue", job->spec.queue.name},
+               {"steps", job->spec.steps.size()},
+               {"tasks", job->spec.steps.empty() ? 0 : job->spec.steps[0].count},
+               {"gang", !job->spec.steps.empty() && job->spec.steps[0].gang},
+               {"accelerators",
+                job->spec.steps.empty() ? 0 : job->spec.steps[0].each.accelerators.value()},
+               {"objective", objective}});
     m_open.push_back(job.get());
     m_jobs.emplace(job->spec.id.value(), std::move(job));
 }
 
-void Dispatcher::restoreJob(JobSpec spec, const std::optional<Progress> &progress,
-                            bool isCancelled, TimePoint now, UnixMilliseconds wallNow)
+void Dispatcher::restoreJob(JobSpec spec, const std::optional<Progress> &progress, bool isCancelled,
+                            TimePoint now, UnixMilliseconds wallNow)
 {
     const JobId id = spec.id;
     const int64_t age =
@@ -322,8 +324,7 @@
             });
             if (!hasNews)
                 continue;
-            std::vector<TaskProgress> &rows =
-                    progress.steps[{occurrence.number, uint32_t(step)}];
+            std::vector<TaskProgress> &rows = progress.steps[{occurrence.number, uint32_t(step)}];
             rows.reserve(tasks.size());
             for (const Task &task : tasks)
                 rows.push_back(task.progress);
@@ -345,11 +346,12 @@
         return;
     job.state = state;
     job.finishedAt = now;
-    log::info("job_finished", {{"job", job.spec.id.value()},
-                               {"state", jobStateName(state)},
-                               {"queue", job.spec.queue.name},
-                               {"age", now - job.arrived},
-                               {"objective_left", job.objective - now}});
+    log::info("job_finished",
+              {{"job", job.spec.id.value()},
+               {"state", jobStateName(state)},
+               {"queue", job.spec.queue.name},
+               {"age", now - job.arrived},
+               {"objective_left", job.objective - now}});
     markDirty(job);
     stopRuns(job);
     if (job.activeRuns == 0)
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -32,24 +32,24 @@
 
 // Section: limits
 
-constexpr Duration orderTimeout = milliseconds(700);    // an answer normally takes a few ms
-constexpr Duration stopRepeat = milliseconds(500);      // until a stop is answered
-constexpr double workerClockError = 0.02;               // a worker's clock may be this much slow
-constexpr Duration stallLimit = milliseconds(1600);     // progress is shown in hundredths
-constexpr Duration shunTime = seconds(4);               // after failures in a row
+constexpr Duration orderTimeout = milliseconds(700); // an answer normally takes a few ms
+constexpr Duration stopRepeat = milliseconds(500);   // until a stop is answered
+constexpr double workerClockError = 0.02;            // a worker's clock may be this much slow
+constexpr Duration stallLimit = milliseconds(1600);  // progress is shown in hundredths
+constexpr Duration shunTime = seconds(4);            // after failures in a row
 constexpr uint32_t shunFailures = 2;
-constexpr Duration ticketMargin = milliseconds(150);    // transit of a start, and clock error
+constexpr Duration ticketMargin = milliseconds(150);     // transit of a start, and clock error
 constexpr Duration reportFreshness = milliseconds(2600); // an older report: the worker may be cut
-constexpr size_t maxRowsPerCommit = 80;                 // the store takes 100 entries a call
-constexpr size_t maxBytesPerCommit = 600000;            // and 1 MB, encoded
-constexpr size_t maxAdviceWorkers = 100;                // in one call
-constexpr size_t maxUnplacedSteps = 60;                 // looked at in one pass for each service
+constexpr size_t maxRowsPerCommit = 80;                  // the store takes 100 entries a call
+constexpr size_t maxBytesPerCommit = 600000;             // and 1 MB, encoded
+constexpr size_t maxAdviceWorkers = 100;                 // in one call
+constexpr size_t maxUnplacedSteps = 60;                  // looked at in one pass for each service
 
 struct DispatcherSettings
 {
-    Duration lease = milliseconds(4500);      // of everything on a worker, renewed with each look
-    Duration keepFinished = seconds(150);     // final states can be asked for
-    double reserveForUrgent = 0.08;           // share of cores that urgent queues alone may use
+    Duration lease = milliseconds(4500);  // of everything on a worker, renewed with each look
+    Duration keepFinished = seconds(150); // final states can be asked for
+    double reserveForUrgent = 0.08;       // share of cores that urgent queues alone may use
 };
 
 // Section: orders
@@ -102,7 +102,7 @@
 // A look at a worker that renews its lease.
 struct WatchOrder
 {
-    int64_t acknowledged = 0;                // ends up to it may be forgotten
+    int64_t acknowledged = 0;                 // ends up to it may be forgotten
     std::optional<int64_t> leaseUntilMs = {}; // on the worker's clock; none before its first report
 };
 
@@ -162,7 +162,7 @@
     void restoreJob(JobSpec spec, const std::optional<Progress> &progress, bool isCancelled,
                     TimePoint now, UnixMilliseconds wallNow);
     void cancelJob(const JobId &id, TimePoint now);
-    std::optional<JobState> jobState(const JobId &id) const; // as callers are told
+    std::optional<JobState> jobState(const JobId &id) const;         // as callers are told
     std::unordered_map<std::string, int64_t> waitingByQueue() const; // jobs that have not begun
     std::vector<JobId> takeExpired(TimePoint now); // finished long ago, forgotten now
 
@@ -194,10 +194,10 @@
     {
         uint64_t started = 0;
         uint64_t ended = 0;
-        uint64_t lost = 0;      // runs whose worker fell silent
+        uint64_t lost = 0; // runs whose worker fell silent
         uint64_t stalled = 0;
         uint64_t preempted = 0;
-        uint64_t refused = 0;   // starts
+        uint64_t refused = 0; // starts
         uint64_t unanswered = 0;
     };
     const Figures &figures() const { return m_figures; }
@@ -245,8 +245,7 @@
     void noteFailed(Job &job, const TaskAddress &address, int64_t attempt, Worker &worker,
                     TimePoint now);
     void noteRunning(Worker &worker, const RunningTask &running, TimePoint now);
-    void checkUnlisted(Worker &worker, const WorkerReport &report, TimePoint sentAt,
-                       TimePoint now);
+    void checkUnlisted(Worker &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now);
     void stopGang(Job &job, const TaskAddress &member);
     void checkStall(Worker &worker, Run &run, TimePoint now);
     StepState *findStep(Job &job, const TaskAddress &address);
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -17,20 +17,20 @@
 constexpr double failedWeight = 3.0;
 constexpr double slownessScore = 0.5;
 constexpr double fitWeight = 0.4;
-constexpr double disturbWeight = 1.5;  // tasks that fill beside tasks that serve
+constexpr double disturbWeight = 1.5; // tasks that fill beside tasks that serve
 
 constexpr double firstAllowedShare = 0.5;  // of the workers asked about, before any answer
 constexpr double allowedShareWeight = 0.1; // of the newest answer
 constexpr double adviceSurplus = 1.4;      // places asked for, against places needed
 constexpr double leastAllowedShare = 0.1;
-constexpr int adviceRepeatFactor = 3;      // pause between questions, against the time of one
+constexpr int adviceRepeatFactor = 3; // pause between questions, against the time of one
 constexpr Duration adviceRetryPause = milliseconds(100);
 constexpr Duration adviceEarly = milliseconds(60); // before the step is expected to be ready
 constexpr Duration leastRunBeforePreemption = milliseconds(400); // a run that just began is left
-constexpr int64_t mostUrgentPriority = 0; // of a queue; others wait for room
-constexpr size_t maxPreemptionsPerStep = 16;                      // in one pass
-constexpr double mostReserved = 0.4;  // share of a service's workers
-constexpr Duration stopEstimate = milliseconds(600); // of a run that is being stopped
+constexpr int64_t mostUrgentPriority = 0;                        // of a queue; others wait for room
+constexpr size_t maxPreemptionsPerStep = 16;                     // in one pass
+constexpr double mostReserved = 0.4;                             // share of a service's workers
+constexpr Duration stopEstimate = milliseconds(600);             // of a run that is being stopped
 constexpr Duration roomReportInterval = seconds(1);
 constexpr Duration drainMargin = milliseconds(1300); // a stop takes up to 0.9 s
 
@@ -143,8 +143,8 @@
                 // Tasks that last are few, and each moment without them is lost.
                 const bool isFirst = job->spec.steps[step].lasting;
                 if (state.waiting > 0 && now >= state.retryAt && isReady(occurrence, *job, step))
-                    found.push_back({isFirst ? nearness - hopelessUnit : rank, job, &occurrence,
-                                     step});
+                    found.push_back(
+                            {isFirst ? nearness - hopelessUnit : rank, job, &occurrence, step});
             }
         }
     }
@@ -186,14 +186,15 @@
         return;
     m_roomsReported = now;
     for (const auto &[service, room] : m_rooms)
-        log::info("room", {{"service", service},
-                           {"free_cores", room.free.cores.value()},
-                           {"cores", room.capacity.cores.value()},
-                           {"free_accelerators", room.free.accelerators.value()},
-                           {"accelerators", room.capacity.accelerators.value()},
-                           {"unplaced_steps", room.unplaced},
-                           {"unplaced_gangs", room.unplacedGangs},
-                           {"reserved_workers", m_reserved.size()}});
+        log::info("room",
+                  {{"service", service},
+                   {"free_cores", room.free.cores.value()},
+                   {"cores", room.capacity.cores.value()},
+                   {"free_accelerators", room.free.accelerators.value()},
+                   {"accelerators", room.capacity.accelerators.value()},
+                   {"unplaced_steps", room.unplaced},
+                   {"unplaced_gangs", room.unplacedGangs},
+                   {"reserved_workers", m_reserved.size()}});
 }
 
 void Dispatcher::place(const Candidate &candidate, Orders &orders, TimePoint now)
@@ -284,11 +285,12 @@
                 continue;
             for (Run *run : chosen) {
                 run->phase = RunPhase::Stopping;
-                log::info("run_preempted", {{"task", run->address.text()},
-                                            {"worker", worker->entry.id.value()},
-                                            {"for", candidate.job->spec.id.value()},
-                                            {"waiting", state.waiting},
-                                            {"objective_left", candidate.job->objective - now}});
+                log::info("run_preempted",
+                          {{"task", run->address.text()},
+                           {"worker", worker->entry.id.value()},
+                           {"for", candidate.job->spec.id.value()},
+                           {"waiting", state.waiting},
+                           {"objective_left", candidate.job->objective - now}});
             }
             m_figures.preempted += chosen.size();
             stopped += chosen.size();
@@ -353,11 +355,11 @@
     score -= slownessScore * worker.slowness;
     const Resources free = freeRoom(worker);
     const auto capacity = double(std::max<int64_t>(1, worker.entry.capacity.cores.value()));
-    const int64_t leftCores = free.cores.value() - worker.fillUsed.value() - step.each.cores.value();
+    const int64_t leftCores =
+            free.cores.value() - worker.fillUsed.value() - step.each.cores.value();
     double left = double(leftCores) / capacity;
     if (worker.entry.capacity.accelerators.value() > 0) {
-        const int64_t leftGpus =
-                free.accelerators.value() - step.each.accelerators.value();
+        const int64_t leftGpus = free.accelerators.value() - step.each.accelerators.value();
         left = 2.0 * double(leftGpus) / double(worker.entry.capacity.accelerators.value());
     }
     // What fills wants room to itself; the rest keeps large gaps open.
@@ -421,12 +423,13 @@
     order.checkpoint = state.tasks[index].progress.checkpoint;
     order.ticket = ticket ? ticket->text : std::string();
     order.leaseUntilMs = leaseDeadline(worker, now);
-    log::info("run_ordered", {{"task", order.task},
-                              {"attempt", attempt},
-                              {"worker", order.worker.value()},
-                              {"checkpoint", !order.checkpoint.empty()},
-                              {"report_age", now - worker.lastReport},
-                              {"epoch", m_epoch.value()}});
+    log::info("run_ordered",
+              {{"task", order.task},
+               {"attempt", attempt},
+               {"worker", order.worker.value()},
+               {"checkpoint", !order.checkpoint.empty()},
+               {"report_age", now - worker.lastReport},
+               {"epoch", m_epoch.value()}});
     ++m_figures.started;
     m_rooms[worker.entry.service].free =
             m_rooms[worker.entry.service].free - candidate.job->spec.steps[candidate.step].each;
@@ -621,9 +624,8 @@
         const bool isAllowed = asked != state.advice.asked.end() && asked->second;
         if ((asked != state.advice.asked.end() && !isAllowed) || findTicket(state, *worker, now))
             continue;
-        const int64_t fits = hasRoom(*worker, step) || step.gang
-                ? tasksThatFit(comingRoom(*worker), step)
-                : 0;
+        const int64_t fits =
+                hasRoom(*worker, step) || step.gang ? tasksThatFit(comingRoom(*worker), step) : 0;
         placesNow += fits;
         if (fits == 0 && !asksAll && !isAllowed)
             continue;
@@ -637,9 +639,10 @@
         return {};
     std::sort(choices.begin(), choices.end(),
               [](const Choice &a, const Choice &b) { return a.score > b.score; });
-    const double share = std::max(
-            leastAllowedShare,
-            m_allowedShare.emplace(candidate.job->spec.queue.name, firstAllowedShare).first->second);
+    const double share =
+            std::max(leastAllowedShare,
+                     m_allowedShare.emplace(candidate.job->spec.queue.name, firstAllowedShare)
+                             .first->second);
     const double wanted = state.waiting * adviceSurplus + 1;
     double expected = 0;
     std::vector<WorkerId> workers;
@@ -669,10 +672,11 @@
             : candidate.job->spec.queue.priority;
     query.expected = policy.decision + policy.perWorker * int64_t(query.workers.size());
     state.advice.isAsking = true;
-    log::info("advice_asked", {{"step", query.step.stepText()},
-                               {"workers", query.workers.size()},
-                               {"waiting", state.waiting},
-                               {"expected", query.expected}});
+    log::info("advice_asked",
+              {{"step", query.step.stepText()},
+               {"workers", query.workers.size()},
+               {"waiting", state.waiting},
+               {"expected", query.expected}});
     orders.queries.push_back(std::move(query));
 }
 
@@ -706,9 +710,8 @@
                     const TaskAddress address = {job.spec.id, occurrence.number, before, index};
                     const auto run = task.worker->runs.find(address.text());
                     if (run != task.worker->runs.end())
-                        remaining = std::max(
-                                remaining,
-                                remainingOf(run->second, job.spec.steps[before], now));
+                        remaining = std::max(remaining,
+                                             remainingOf(run->second, job.spec.steps[before], now));
                 }
             }
             const AdvicePolicy &policy = *job.spec.queue.advice;
@@ -749,13 +752,14 @@
                                                       worker->born};
     }
     if (news > 0) {
-        double &share = m_allowedShare.emplace(job->spec.queue.name, firstAllowedShare)
-                                .first->second;
+        double &share =
+                m_allowedShare.emplace(job->spec.queue.name, firstAllowedShare).first->second;
         share += allowedShareWeight * (double(newsAllowed) / double(news) - share);
     }
-    log::info("advice_received", {{"step", query.step.stepText()},
-                                  {"asked", query.workers.size()},
-                                  {"allowed", allowed.size()}});
+    log::info("advice_received",
+              {{"step", query.step.stepText()},
+               {"asked", query.workers.size()},
+               {"allowed", allowed.size()}});
 }
 
 void Dispatcher::onAdviceFailed(const AdviceQuery &query, TimePoint now)
@@ -797,10 +801,11 @@
         const bool moves = spec.lasting || (!endsInTime && (spec.checkpoints || isLastMoment));
         if (!moves)
             continue;
-        log::info("run_moved", {{"task", task},
-                                {"worker", worker.entry.id.value()},
-                                {"reason", "draining"},
-                                {"time_left", isShort ? worker.drainDeadline - now : Duration()}});
+        log::info("run_moved",
+                  {{"task", task},
+                   {"worker", worker.entry.id.value()},
+                   {"reason", "draining"},
+                   {"time_left", isShort ? worker.drainDeadline - now : Duration()}});
         run.phase = RunPhase::Stopping;
         stopGang(*run.job, run.address);
     }
@@ -811,7 +816,8 @@
     double worst = 0;
     for (const auto &[task, run] : worker.runs) {
         if (run.job && stepSpec(*run.job, run.address).tailTargetMs > 0)
-            worst = std::max(worst, double(run.figure)
+            worst = std::max(worst,
+                             double(run.figure)
                                      / double(stepSpec(*run.job, run.address).tailTargetMs));
     }
     if (worker.fillUsed.value() == 0 || (worst <= paceDownAt && worst >= paceUpAt))
@@ -820,17 +826,18 @@
         if (run.fillCores.value() == 0 || run.phase != RunPhase::Running
             || now - run.overSince < milliseconds(500))
             continue;
-        const int64_t pace = std::clamp<int64_t>(run.pace + (worst > paceDownAt ? -paceStep : 10),
-                                                 0, 100);
+        const int64_t pace =
+                std::clamp<int64_t>(run.pace + (worst > paceDownAt ? -paceStep : 10), 0, 100);
         if (pace == run.pace)
             continue;
         run.pace = pace;
         run.overSince = now;
         run.percentAt = now;
-        log::info("run_paced", {{"task", task},
-                                {"worker", worker.entry.id.value()},
-                                {"percent", pace},
-                                {"tail_of_target", worst}});
+        log::info("run_paced",
+                  {{"task", task},
+                   {"worker", worker.entry.id.value()},
+                   {"percent", pace},
+                   {"tail_of_target", worst}});
         orders.paces.push_back({worker.entry.id, worker.entry.address, task, run.attempt, pace});
     }
 }
--- a/src/jobs/progress.cpp
+++ b/src/jobs/progress.cpp
@@ -13,6 +13,8 @@
 using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
 using rapidjson::Value;
 
+constexpr int64_t maxStoredTasks = 1000000; // of one step; more is taken for a damaged row
+
 void put(Writer &writer, const char *key, const std::string &text)
 {
     if (text.empty())
@@ -158,6 +160,12 @@
     return step;
 }
 
+const Value *arrayMember(const Value &object, const char *key)
+{
+    const auto member = object.FindMember(key);
+    return member != object.MemberEnd() && member->value.IsArray() ? &member->value : nullptr;
+}
+
 absl::Status malformed(const char *what)
 {
     return makeError(Failure::MalformedBody, std::string("a stored ") + what + " cannot be read");
@@ -191,23 +199,26 @@
 {
     rapidjson::Document document;
     document.Parse(content.data(), content.size());
-    if (document.HasParseError() || !document.IsObject() || !document.HasMember("queue")
-        || !document["queue"].IsObject() || !document.HasMember("steps")
-        || !document["steps"].IsArray())
+    if (document.HasParseError() || !document.IsObject())
+        return malformed("job");
+    const Value &root = document;
+    const auto queue = root.FindMember("queue");
+    const Value *const steps = arrayMember(root, "steps");
+    if (queue == root.MemberEnd() || !queue->value.IsObject() || !steps)
         return malformed("job");
     JobSpec spec;
-    spec.id = JobId(text(document, "id"));
-    spec.queue = readQueue(document["queue"]);
-    spec.payload = text(document, "payload");
-    for (const Value &step : document["steps"].GetArray()) {
+    spec.id = JobId(text(root, "id"));
+    spec.queue = readQueue(queue->value);
+    spec.payload = text(root, "payload");
+    for (const Value &step : steps->GetArray()) {
         if (!step.IsObject())
             return malformed("job");
         spec.steps.push_back(readStep(step));
     }
-    spec.times = uint32_t(number(document, "times"));
-    spec.firstAt = UnixMilliseconds(number(document, "firstAt"));
-    spec.interval = duration(document, "intervalUs");
-    spec.acceptedAt = UnixMilliseconds(number(document, "acceptedAt"));
+    spec.times = uint32_t(number(root, "times"));
+    spec.firstAt = UnixMilliseconds(number(root, "firstAt"));
+    spec.interval = duration(root, "intervalUs");
+    spec.acceptedAt = UnixMilliseconds(number(root, "acceptedAt"));
     return spec;
 }
 
@@ -254,36 +265,52 @@
     return {buffer.GetString(), buffer.GetSize()};
 }
 
+namespace {
+
+// Reads what is known of the tasks of one step; false if it cannot be read.
+bool readTasks(const Value &step, std::vector<TaskProgress> &tasks)
+{
+    const Value *const others = arrayMember(step, "others");
+    const int64_t count = number(step, "count");
+    if (!others || count < 0 || count > maxStoredTasks)
+        return false;
+    tasks.resize(size_t(count));
+    const std::string done = text(step, "done");
+    for (size_t index = 0; index < tasks.size() && index < done.size(); ++index)
+        tasks[index].isDone = done[index] == 'd';
+    for (const Value &other : others->GetArray()) {
+        const int64_t index = other.IsObject() ? number(other, "index") : -1;
+        const Value *const attempts =
+                other.IsObject() ? arrayMember(other, "failedAttempts") : nullptr;
+        if (index < 0 || index >= count || !attempts)
+            return false;
+        TaskProgress &task = tasks[size_t(index)];
+        for (const Value &attempt : attempts->GetArray())
+            task.failedAttempts.push_back(attempt.IsInt64() ? attempt.GetInt64() : 0);
+        task.checkpoint = text(other, "checkpoint");
+    }
+    return true;
+}
+
+} // namespace
+
 absl::StatusOr<Progress> decodeProgress(const std::string &content)
 {
     rapidjson::Document document;
     document.Parse(content.data(), content.size());
-    if (document.HasParseError() || !document.IsObject() || !document.HasMember("steps")
-        || !document["steps"].IsArray())
+    if (document.HasParseError() || !document.IsObject())
         return malformed("progress");
+    const Value &root = document;
     Progress progress;
-    const std::optional<JobState> state = jobStateFromName(text(document, "state"));
-    if (!state)
+    const std::optional<JobState> state = jobStateFromName(text(root, "state"));
+    const Value *const steps = arrayMember(root, "steps");
+    if (!state || !steps)
         return malformed("progress");
     progress.state = *state;
-    for (const Value &step : document["steps"].GetArray()) {
-        if (!step.IsObject() || !step.HasMember("others") || !step["others"].IsArray())
+    for (const Value &step : steps->GetArray()) {
+        std::vector<TaskProgress> tasks;
+        if (!step.IsObject() || !readTasks(step, tasks))
             return malformed("progress");
-        std::vector<TaskProgress> tasks(size_t(number(step, "count")));
-        const std::string done = text(step, "done");
-        for (size_t index = 0; index < tasks.size() && index < done.size(); ++index)
-            tasks[index].isDone = done[index] == 'd';
-        for (const Value &other : step["others"].GetArray()) {
-            const auto index = size_t(number(other, "index"));
-            if (index >= tasks.size())
-                return malformed("progress");
-            const auto attempts = other.FindMember("failedAttempts");
-            if (attempts == other.MemberEnd() || !attempts->value.IsArray())
-                return malformed("progress");
-            for (const Value &attempt : attempts->value.GetArray())
-                tasks[index].failedAttempts.push_back(attempt.IsInt64() ? attempt.GetInt64() : 0);
-            tasks[index].checkpoint = text(other, "checkpoint");
-        }
         progress.steps.emplace(
                 StepKey(uint32_t(number(step, "occurrence")), uint32_t(number(step, "step"))),
                 std::move(tasks));
--- a/src/jobs/runs.cpp
+++ b/src/jobs/runs.cpp
@@ -10,10 +10,10 @@
 
 namespace {
 
-constexpr double slownessWeight = 0.2;  // of the newest run in the smoothed figure
-constexpr double fastest = 0.2;         // bounds of one run's figure: estimates are rough
+constexpr double slownessWeight = 0.2; // of the newest run in the smoothed figure
+constexpr double fastest = 0.2;        // bounds of one run's figure: estimates are rough
 constexpr double slowest = 8.0;
-constexpr Duration gangRetryPause = milliseconds(50);  // the last member's end may still come
+constexpr Duration gangRetryPause = milliseconds(50); // the last member's end may still come
 constexpr Duration unhealthyPause = milliseconds(1500);
 
 } // namespace
@@ -176,10 +176,11 @@
     failed.push_back(attempt);
     markDirty(job);
     if (int64_t(failed.size()) >= job.spec.queue.maxAttempts) {
-        log::info("job_out_of_attempts", {{"job", job.spec.id.value()},
-                                          {"task", address.text()},
-                                          {"failures", failed.size()},
-                                          {"worker", worker.entry.id.value()}});
+        log::info("job_out_of_attempts",
+                  {{"job", job.spec.id.value()},
+                   {"task", address.text()},
+                   {"failures", failed.size()},
+                   {"worker", worker.entry.id.value()}});
         finishJob(job, JobState::Failed, now);
     }
 }
@@ -201,11 +202,12 @@
         return;
     }
     if (end.kind != EndKind::Done)
-        log::info("run_ended", {{"task", end.task},
-                                {"attempt", end.attempt},
-                                {"how", endKindName(end.kind)},
-                                {"worker", worker.entry.id.value()},
-                                {"end", end.number}});
+        log::info("run_ended",
+                  {{"task", end.task},
+                   {"attempt", end.attempt},
+                   {"how", endKindName(end.kind)},
+                   {"worker", worker.entry.id.value()},
+                   {"end", end.number}});
     task->attempt = std::max(task->attempt, end.attempt);
     if (!end.checkpoint.empty() && task->phase != Task::Phase::Done
         && end.checkpoint != task->progress.checkpoint) {
@@ -216,9 +218,9 @@
         const Duration estimate = stepSpec(*job, *address).estimate;
         if (isCurrent && ended.confirmedAt != TimePoint() && estimate > Duration::zero()
             && task->progress.checkpoint.empty()) {
-            const double ratio = std::clamp(double((now - ended.confirmedAt).count())
-                                                    / double(estimate.count()),
-                                            fastest, slowest);
+            const double ratio =
+                    std::clamp(double((now - ended.confirmedAt).count()) / double(estimate.count()),
+                               fastest, slowest);
             worker.slowness += slownessWeight * (ratio - worker.slowness);
         }
         worker.failuresInRow = 0;
@@ -226,9 +228,10 @@
     } else if (end.kind == EndKind::Failed) {
         if (++worker.failuresInRow >= shunFailures) {
             worker.shunnedUntil = now + shunTime;
-            log::warn("worker_shunned", {{"worker", worker.entry.id.value()},
-                                         {"failures", worker.failuresInRow},
-                                         {"time", shunTime}});
+            log::warn("worker_shunned",
+                      {{"worker", worker.entry.id.value()},
+                       {"failures", worker.failuresInRow},
+                       {"time", shunTime}});
         }
         noteFailed(*job, *address, end.attempt, worker, now);
     }
@@ -244,10 +247,11 @@
 {
     if (worker.runs.empty())
         return;
-    log::warn("worker_runs_lost", {{"worker", worker.entry.id.value()},
-                                   {"reason", reason},
-                                   {"runs", worker.runs.size()},
-                                   {"report_age", now - worker.lastReport}});
+    log::warn("worker_runs_lost",
+              {{"worker", worker.entry.id.value()},
+               {"reason", reason},
+               {"runs", worker.runs.size()},
+               {"report_age", now - worker.lastReport}});
     m_figures.lost += worker.runs.size();
     const std::vector<std::pair<std::string, Run>> lost(worker.runs.begin(), worker.runs.end());
     for (const auto &[task, run] : lost) {
@@ -308,12 +312,12 @@
     run.address = *address;
     Job *const job = findJob(address->job);
     Task *const task = job ? findTask(*job, *address) : nullptr;
-    const bool isAdopted =
-            task && task->phase == Task::Phase::Waiting && !isFinal(job->state);
-    log::info(isAdopted ? "run_adopted" : "run_unexpected", {{"task", running.task},
-                                                             {"attempt", running.attempt},
-                                                             {"worker", worker.entry.id.value()},
-                                                             {"job_known", job != nullptr}});
+    const bool isAdopted = task && task->phase == Task::Phase::Waiting && !isFinal(job->state);
+    log::info(isAdopted ? "run_adopted" : "run_unexpected",
+              {{"task", running.task},
+               {"attempt", running.attempt},
+               {"worker", worker.entry.id.value()},
+               {"job_known", job != nullptr}});
     if (isAdopted) {
         run.job = job;
         if (!running.checkpoint.empty())
@@ -343,9 +347,10 @@
     }
     for (const auto &[task, run] : over) {
         if (!run.job || run.stopAckedAt == TimePoint())
-            log::warn("run_vanished", {{"task", task},
-                                       {"attempt", run.attempt},
-                                       {"worker", worker.entry.id.value()}});
+            log::warn("run_vanished",
+                      {{"task", task},
+                       {"attempt", run.attempt},
+                       {"worker", worker.entry.id.value()}});
         if (run.job)
             stopGang(*run.job, run.address);
         removeRun(worker, task);
@@ -363,11 +368,12 @@
     if (spec.fill || spec.gang || (spec.lasting && run.percent >= 100))
         return;
     ++m_figures.stalled;
-    log::warn("run_stalled", {{"task", run.address.text()},
-                              {"attempt", run.attempt},
-                              {"worker", worker.entry.id.value()},
-                              {"percent", run.percent},
-                              {"unchanged", now - run.percentAt}});
+    log::warn("run_stalled",
+              {{"task", run.address.text()},
+               {"attempt", run.attempt},
+               {"worker", worker.entry.id.value()},
+               {"percent", run.percent},
+               {"unchanged", now - run.percentAt}});
     run.phase = RunPhase::Stopping;
     worker.shunnedUntil = std::max(worker.shunnedUntil, now + shunTime);
 }
@@ -435,9 +441,10 @@
         return;
     case OrderAnswer::Unknown:
         ++m_figures.unanswered;
-        log::info("start_unanswered", {{"task", order.task},
-                                       {"attempt", order.attempt},
-                                       {"worker", order.worker.value()}});
+        log::info("start_unanswered",
+                  {{"task", order.task},
+                   {"attempt", order.attempt},
+                   {"worker", order.worker.value()}});
         run.phase = RunPhase::Stopping;
         if (run.job)
             stopGang(*run.job, run.address);
@@ -459,12 +466,13 @@
         break;
     }
     ++m_figures.refused;
-    log::info("start_refused", {{"task", order.task},
-                                {"attempt", order.attempt},
-                                {"worker", order.worker.value()},
-                                {"answer", orderAnswerName(answer)},
-                                {"lease_until", order.leaseUntilMs},
-                                {"worker_clock", worker.clockMs}});
+    log::info("start_refused",
+              {{"task", order.task},
+               {"attempt", order.attempt},
+               {"worker", order.worker.value()},
+               {"answer", orderAnswerName(answer)},
+               {"lease_until", order.leaseUntilMs},
+               {"worker_clock", worker.clockMs}});
     if (run.job) {
         Job &job = *run.job;
         const TaskAddress address = run.address;
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -30,7 +30,7 @@
     TaskAddress address;
     int64_t attempt = 0;
     Resources room = {};
-    Millicores fillCores = {};  // used but not reserved
+    Millicores fillCores = {}; // used but not reserved
     RunPhase phase = RunPhase::Ordered;
     TimePoint orderedAt = {};
     TimePoint confirmedAt = {};
@@ -39,8 +39,9 @@
     int64_t percent = 0;
     TimePoint percentAt = {}; // when it last changed
     int64_t figure = 0;
-    int64_t pace = 100;     // percent of full speed
-    TimePoint overSince = {}; // serving task: its tail has been over the target since; zero: it is not
+    int64_t pace = 100; // percent of full speed
+    TimePoint overSince =
+            {}; // serving task: its tail has been over the target since; zero: it is not
 };
 
 // Section: jobs
@@ -49,9 +50,9 @@
 {
     enum class Phase { Waiting, Active, Done };
     Phase phase = Phase::Waiting;
-    Worker *worker = nullptr;      // of an active task
-    int64_t attempt = 0;           // the last one used
-    WorkerId lastFailedOn = {};    // not chosen again while others have room
+    Worker *worker = nullptr;   // of an active task
+    int64_t attempt = 0;        // the last one used
+    WorkerId lastFailedOn = {}; // not chosen again while others have room
     TaskProgress progress = {};
 };
 
@@ -98,7 +99,7 @@
     JobState shown = JobState::Queued; // as callers are told: final states only once stored
     bool isCancelled = false;
     bool isDirty = false;
-    uint64_t changes = 0;  // rises whenever something is to be stored
+    uint64_t changes = 0;    // rises whenever something is to be stored
     bool isRestored = false; // its tasks may run where an earlier owner started them
     uint32_t occurrencesDone = 0;
     uint32_t activeRuns = 0;
@@ -114,25 +115,25 @@
 {
     WorkerEntry entry;
     bool isListed = true;
-    bool isRead = false;         // it has reported to this owner
+    bool isRead = false; // it has reported to this owner
     Resources used = {};
     Millicores fillUsed = {};
-    bool isUnanswered = false;   // the last look at it failed
-    int64_t born = 0;            // of the life that reported last
-    TimePoint bornSeen = {};     // a restart that this owner has seen; zero: none
-    int64_t clockMs = 0;         // its clock ...
-    TimePoint clockAt = {};      // ... no later than at this instant
+    bool isUnanswered = false; // the last look at it failed
+    int64_t born = 0;          // of the life that reported last
+    TimePoint bornSeen = {};   // a restart that this owner has seen; zero: none
+    int64_t clockMs = 0;       // its clock ...
+    TimePoint clockAt = {};    // ... no later than at this instant
     TimePoint lastReport = {};
-    TimePoint leaseEnds = {};    // everything there has ended by then unless it is renewed
+    TimePoint leaseEnds = {}; // everything there has ended by then unless it is renewed
     int64_t endsProcessed = 0;
-    int64_t endsAcknowledged = 0; // what they mean is stored
+    int64_t endsAcknowledged = 0;                   // what they mean is stored
     std::unordered_map<std::string, Run> runs = {}; // by task
-    uint32_t unknownRuns = 0;    // whose room is not known
-    uint32_t servingTargets = 0; // runs with a target for their response times
+    uint32_t unknownRuns = 0;                       // whose room is not known
+    uint32_t servingTargets = 0;                    // runs with a target for their response times
     uint32_t failuresInRow = 0;
-    TimePoint shunnedUntil = {}; // starts nothing before
+    TimePoint shunnedUntil = {};  // starts nothing before
     TimePoint drainDeadline = {}; // zero: not known
-    double slowness = 1;         // run times against estimates, smoothed
+    double slowness = 1;          // run times against estimates, smoothed
 };
 
 inline Resources freeRoom(const Worker &worker)
--- a/src/jobs/types.cpp
+++ b/src/jobs/types.cpp
@@ -12,8 +12,8 @@
 constexpr std::array jobStateNames = {"queued", "running", "completed", "failed", "cancelled"};
 constexpr std::array endKindNames = {"done",   "failed", "stopped", "lapsed",
                                      "broken", "alone",  "unknown"};
-constexpr std::array orderAnswerNames = {"accepted",   "fenced",       "superseded", "late",
-                                         "no_room",    "bad_ticket",   "invalid",    "unhealthy",
+constexpr std::array orderAnswerNames = {"accepted",     "fenced",     "superseded", "late",
+                                         "no_room",      "bad_ticket", "invalid",    "unhealthy",
                                          "wrong_worker", "not_sent",   "unknown"};
 
 } // namespace
--- a/src/jobs/types.h
+++ b/src/jobs/types.h
@@ -20,9 +20,9 @@
 // The policy service that decides where the steps of a queue may run.
 struct AdvicePolicy
 {
-    Duration decision = {}; // of one call
+    Duration decision = {};  // of one call
     Duration perWorker = {}; // added for each worker that the call names
-    Duration validity = {}; // of a ticket
+    Duration validity = {};  // of a ticket
 };
 
 // A queue as the configuration in force describes it.
@@ -52,22 +52,22 @@
 
 struct Step
 {
-    uint32_t count = 1;            // tasks
-    Resources each = {};           // room of one task
-    Duration estimate = {};        // rough run time of one task
+    uint32_t count = 1;               // tasks
+    Resources each = {};              // room of one task
+    Duration estimate = {};           // rough run time of one task
     std::vector<uint32_t> after = {}; // numbers of the steps that must be done before
-    std::string label = {};        // that the worker must have; may be empty
-    std::string rack = {};         // where the data is; may be empty
-    std::string image = {};        // tasks of one image behave alike; may be empty
-    uint32_t maxPerWorker = 0;     // tasks of the step on one worker; 0: no limit
-    uint32_t maxUnavailable = 0;   // tasks that the system may take away at once; 0: no limit
-    int64_t tailTargetMs = 0;      // limit of a serving task's response times; 0: none
-    bool checkpoints = false;      // progress is saved while it runs
-    bool gang = false;             // the tasks work only together
-    bool rackLocal = false;        // a gang that is slower on more than one rack
-    bool speculative = false;      // copies may run
-    bool lasting = false;          // runs until the job is cancelled
-    bool fill = false;             // uses the cores that others leave; they are not reserved
+    std::string label = {};           // that the worker must have; may be empty
+    std::string rack = {};            // where the data is; may be empty
+    std::string image = {};           // tasks of one image behave alike; may be empty
+    uint32_t maxPerWorker = 0;        // tasks of the step on one worker; 0: no limit
+    uint32_t maxUnavailable = 0;      // tasks that the system may take away at once; 0: no limit
+    int64_t tailTargetMs = 0;         // limit of a serving task's response times; 0: none
+    bool checkpoints = false;         // progress is saved while it runs
+    bool gang = false;                // the tasks work only together
+    bool rackLocal = false;           // a gang that is slower on more than one rack
+    bool speculative = false;         // copies may run
+    bool lasting = false;             // runs until the job is cancelled
+    bool fill = false;                // uses the cores that others leave; they are not reserved
 };
 
 struct JobSpec
@@ -76,9 +76,9 @@
     Queue queue;              // as it was at acceptance
     std::string payload = {}; // handed to each task
     std::vector<Step> steps = {};
-    uint32_t times = 0;       // occurrences; 0: once, at once
+    uint32_t times = 0; // occurrences; 0: once, at once
     UnixMilliseconds firstAt = {};
-    Duration interval = {};   // between occurrences
+    Duration interval = {}; // between occurrences
     UnixMilliseconds acceptedAt = {};
 };
 
@@ -153,9 +153,9 @@
 // What a worker said to an order.
 enum class OrderAnswer {
     Accepted,
-    Fenced,      // a newer owner has been there
-    Superseded,  // a run at least as new has ended there
-    Late,        // the lease in the order has ended already
+    Fenced,     // a newer owner has been there
+    Superseded, // a run at least as new has ended there
+    Late,       // the lease in the order has ended already
     NoRoom,
     BadTicket,
     Invalid,     // the worker can't read the order
--- a/src/node/log.cpp
+++ b/src/node/log.cpp
@@ -52,8 +52,9 @@
                 "time=%d{yyyy-MM-ddTHH:mm:ss.SSS}{UTC}Z level=%p %m%n");
         m_appender->removeAllAppenders();
         m_appender->addAppender(std::make_shared<log4cxx::ConsoleAppender>(
-                layout, stream == Stream::Output ? log4cxx::ConsoleAppender::getSystemOut()
-                                                 : log4cxx::ConsoleAppender::getSystemErr()));
+                layout,
+                stream == Stream::Output ? log4cxx::ConsoleAppender::getSystemOut()
+                                         : log4cxx::ConsoleAppender::getSystemErr()));
     }
 
     void write(Level level, const std::string &name, Pairs pairs)
--- a/src/node/log.h
+++ b/src/node/log.h
@@ -32,7 +32,7 @@
 // Section: limits
 
 constexpr size_t maxValueBytes = 1024; // a longer value is cut and ends in "..."
-constexpr uint64_t maxPerSecond = 20;  // lines of one event
+constexpr uint64_t maxPerSecond = 60;  // lines of one event
 constexpr size_t maxEvents = 4096;     // event names that are limited one by one
 
 // Section: levels
--- a/tests/jobs/dispatcher_test.cpp
+++ b/tests/jobs/dispatcher_test.cpp
@@ -72,10 +72,7 @@
     Orders decide(int64_t ms) { return m_dispatcher.decide(at(ms), UnixMilliseconds(0)); }
 
 public:
-    void setUp() override
-    {
-        m_dispatcher.begin(Epoch(2), at(8000));
-    }
+    void setUp() override { m_dispatcher.begin(Epoch(2), at(8000)); }
 
     // Guards against the fault of hunt-81be-11: the end of attempt 1, read after that of attempt 2,
     // was not counted, and the task started once too often.
@@ -123,9 +120,11 @@
         m_dispatcher.addJob(makeJob("j", 1, 1000), at(10));
         const Orders orders = decide(20);
         report("a", 500, {}, {{1, "j.0.0.0", orders.starts[0].attempt, EndKind::Done, ""}});
-        CPPUNIT_ASSERT_EQUAL(int64_t(0), m_dispatcher.watchOrder(WorkerId("a"), at(501)).acknowledged);
+        CPPUNIT_ASSERT_EQUAL(int64_t(0),
+                             m_dispatcher.watchOrder(WorkerId("a"), at(501)).acknowledged);
         m_dispatcher.committed(m_dispatcher.collect());
-        CPPUNIT_ASSERT_EQUAL(int64_t(1), m_dispatcher.watchOrder(WorkerId("a"), at(502)).acknowledged);
+        CPPUNIT_ASSERT_EQUAL(int64_t(1),
+                             m_dispatcher.watchOrder(WorkerId("a"), at(502)).acknowledged);
     }
 
     void completedIsShownOnceStored()
@@ -192,8 +191,8 @@
         CPPUNIT_ASSERT_EQUAL(size_t(1), decide(40).starts.size());
     }
 
-    // Guards against the fault of ycwat-ledge scale-2 659307132717: a task that lasts waited as long
-    // as its service had no more free room than what is kept for urgent queues.
+    // Guards against the fault of ycwat-ledge scale-2 659307132717: a task that lasts waited as
+    // long as its service had no more free room than what is kept for urgent queues.
     void lastingTaskUsesRoomThatIsKeptForUrgentOnes()
     {
         putWorker("a", 10000);
@@ -283,8 +282,9 @@
         CPPUNIT_ASSERT_EQUAL(size_t(2), first.starts.size());
         report("a", 500, {}, {{1, "j.0.0.0", first.starts[0].attempt, EndKind::Done, ""}});
         CPPUNIT_ASSERT(decide(510).starts.empty());
-        report("a", 600, {}, {{1, "j.0.0.0", first.starts[0].attempt, EndKind::Done, ""},
-                              {2, "j.0.0.1", first.starts[1].attempt, EndKind::Done, ""}});
+        report("a", 600, {},
+               {{1, "j.0.0.0", first.starts[0].attempt, EndKind::Done, ""},
+                {2, "j.0.0.1", first.starts[1].attempt, EndKind::Done, ""}});
         CPPUNIT_ASSERT_EQUAL(size_t(2), decide(610).starts.size());
     }
 };
--- a/tests/jobs/progress_test.cpp
+++ b/tests/jobs/progress_test.cpp
@@ -25,7 +25,11 @@
     {
         JobSpec spec;
         spec.id = JobId("5c0e7a21d94b36f8");
-        spec.queue = {.name = "q", .service = "s", .priority = 2, .maxAttempts = 4, .stretch = 1.5,
+        spec.queue = {.name = "q",
+                      .service = "s",
+                      .priority = 2,
+                      .maxAttempts = 4,
+                      .stretch = 1.5,
                       .allowance = milliseconds(250),
                       .advice = AdvicePolicy{milliseconds(13), std::chrono::microseconds(190),
                                              seconds(2)}};
--- a/tests/jobs/simulation.cpp
+++ b/tests/jobs/simulation.cpp
@@ -71,7 +71,10 @@
     {
         return std::uniform_int_distribution<int64_t>(least, most)(m_random);
     }
-    void later(Duration delay, Action action) { m_actions.emplace(m_now + delay, std::move(action)); }
+    void later(Duration delay, Action action)
+    {
+        m_actions.emplace(m_now + delay, std::move(action));
+    }
 
     void addWorkers();
     void addJobs();
@@ -96,9 +99,9 @@
     TimePoint m_now = at({});
     std::multimap<TimePoint, Action> m_actions;
     std::map<std::string, SimulatedWorker> m_workers;
-    std::map<std::string, JobSpec> m_jobs;         // accepted, as in the store
-    std::map<std::string, Progress> m_stored;      // progress in the store
-    std::set<std::string> m_doneForGood;           // tasks whose end as done was acknowledged
+    std::map<std::string, JobSpec> m_jobs;    // accepted, as in the store
+    std::map<std::string, Progress> m_stored; // progress in the store
+    std::set<std::string> m_doneForGood;      // tasks whose end as done was acknowledged
     std::map<std::string, std::set<int64_t>> m_failedRuns; // ends as failed that were acknowledged
     std::shared_ptr<Dispatcher> m_owner;
     Epoch m_epoch;
@@ -157,10 +160,9 @@
     m_owner->begin(m_epoch, m_now + seconds(4));
     for (const auto &[id, spec] : m_jobs) {
         const auto progress = m_stored.find(id);
-        m_owner->restoreJob(spec,
-                            progress == m_stored.end() ? std::optional<Progress>()
-                                                       : progress->second,
-                            false, m_now, UnixMilliseconds(0));
+        m_owner->restoreJob(
+                spec, progress == m_stored.end() ? std::optional<Progress>() : progress->second,
+                false, m_now, UnixMilliseconds(0));
     }
     for (const auto &[id, worker] : m_workers) {
         WorkerEntry entry;
@@ -191,9 +193,10 @@
             if (m_now >= worker.leaseEnds)
                 ends.emplace_back(task, EndKind::Lapsed);
             else if (m_now >= run.ends)
-                ends.emplace_back(task, run.isStopping ? EndKind::Stopped
-                                          : run.fails  ? EndKind::Failed
-                                                       : EndKind::Done);
+                ends.emplace_back(task,
+                                  run.isStopping      ? EndKind::Stopped
+                                          : run.fails ? EndKind::Failed
+                                                      : EndKind::Done);
         }
         for (const auto &[task, kind] : ends)
             end(worker, task, kind);
@@ -250,8 +253,7 @@
     if (epoch < worker.token)
         return OrderAnswer::Fenced;
     worker.token = epoch;
-    worker.endedAttempts[order.task] =
-            std::max(worker.endedAttempts[order.task], order.attempt);
+    worker.endedAttempts[order.task] = std::max(worker.endedAttempts[order.task], order.attempt);
     const auto run = worker.running.find(order.task);
     if (run != worker.running.end() && run->second.attempt <= order.attempt) {
         run->second.isStopping = true;
@@ -283,9 +285,9 @@
         while (!worker.ended.empty() && worker.ended.front().number <= order.acknowledged)
             worker.ended.pop_front();
         if (order.leaseUntilMs)
-            worker.leaseEnds = std::max(
-                    worker.leaseEnds,
-                    m_now + milliseconds(*order.leaseUntilMs - worker.clock(m_now)));
+            worker.leaseEnds =
+                    std::max(worker.leaseEnds,
+                             m_now + milliseconds(*order.leaseUntilMs - worker.clock(m_now)));
         WorkerReport report;
         report.clockMs = worker.clock(m_now);
         report.born = worker.born;
--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -20,12 +20,12 @@
     uint64_t seed = 1;
     int workers = 6;
     int jobs = 25;
-    double lostAnswers = 0.05;  // share of orders whose answer is lost
-    double lateOrders = 0.03;   // share of orders carried out seconds later
-    double failures = 0.05;     // share of runs that fail
-    double restarts = 0;        // of a worker, each second
-    double cuts = 0;            // of a worker, each second
-    double ownerChanges = 0;    // each second
+    double lostAnswers = 0.05; // share of orders whose answer is lost
+    double lateOrders = 0.03;  // share of orders carried out seconds later
+    double failures = 0.05;    // share of runs that fail
+    double restarts = 0;       // of a worker, each second
+    double cuts = 0;           // of a worker, each second
+    double ownerChanges = 0;   // each second
     Duration faultsEnd = seconds(20);
     Duration end = seconds(60);
 };
--- a/tests/usersplatform/cell_test.cpp
+++ b/tests/usersplatform/cell_test.cpp
@@ -84,11 +84,11 @@
     void startMember(size_t index)
     {
         Member &member = m_members[index];
-        auto process = harness::Process::start(
-                {.name = absl::StrCat("member", index, "-", member.lives++),
-                 .program = std::string(CWL_BIN_FOLDER) + "/cwl-cell",
-                 .arguments = {"--settings", member.settings},
-                 .folder = m_folder});
+        auto process =
+                harness::Process::start({.name = absl::StrCat("member", index, "-", member.lives++),
+                                         .program = std::string(CWL_BIN_FOLDER) + "/cwl-cell",
+                                         .arguments = {"--settings", member.settings},
+                                         .folder = m_folder});
         CPPUNIT_ASSERT(process.ok());
         member.process = *std::move(process);
     }
@@ -138,7 +138,8 @@
         return writeJson(body);
     }
 
-    // Hands a job in, at one member after the other, as clients do after an answer that tells nothing.
+    // Hands a job in, at one member after the other, as clients do after an answer that tells
+    // nothing.
     std::string submit(int steps = 2)
     {
         const std::string id = nextJob();
@@ -193,8 +194,8 @@
             CPPUNIT_ASSERT(m_store->open().ok());
             m_store->put("op", "config", configuration);
             for (int index = 0; index < workers; ++index) {
-                m_workers.push_back(std::make_unique<Worker>(
-                        m_context, absl::StrCat("i-", index), m_ledger));
+                m_workers.push_back(
+                        std::make_unique<Worker>(m_context, absl::StrCat("i-", index), m_ledger));
                 CPPUNIT_ASSERT(m_workers.back()->open().ok());
                 m_store->put("servers", m_workers.back()->id(), m_workers.back()->entry());
             }
@@ -218,9 +219,8 @@
             startMember(index);
         }
         for (const Member &member : m_members)
-            waitFor("readiness", [&] {
-                return status(member.readiness, "GET", "/v1/readyz") == 200;
-            });
+            waitFor("readiness",
+                    [&] { return status(member.readiness, "GET", "/v1/readyz") == 200; });
         waitFor("an owner", [this] { return ownerIndex() < m_members.size(); });
     }
 
@@ -245,8 +245,9 @@
             jobs.push_back(submit());
         for (const std::string &id : jobs)
             waitForState(id, "completed");
-        CPPUNIT_ASSERT_EQUAL(200, status(m_members[0].callers, "POST", "/draw/" + jobs[0],
-                                         jobBody(2))); // it remains one job
+        CPPUNIT_ASSERT_EQUAL(200,
+                             status(m_members[0].callers, "POST", "/draw/" + jobs[0],
+                                    jobBody(2))); // it remains one job
         std::string answer;
         CPPUNIT_ASSERT_EQUAL(200, status(m_members[1].callers, "GET", "/draw/", {}, &answer));
         CPPUNIT_ASSERT_EQUAL(std::string("{\"pending\":0}"), answer);
@@ -307,9 +308,8 @@
         std::vector<std::string> jobs;
         for (int index = 0; index < 4; ++index)
             jobs.push_back(submit(1));
-        waitFor("a run", [this] {
-            return onStandins([this] { return !m_ledger.running.empty(); });
-        });
+        waitFor("a run",
+                [this] { return onStandins([this] { return !m_ledger.running.empty(); }); });
         onStandins([this] { m_workers[0]->isSilent = true; });
         for (const std::string &id : jobs)
             waitForState(id, "completed");
@@ -320,13 +320,12 @@
     void stoppedMemberCutsNoRequest()
     {
         m_members[0].process->terminate();
-        waitFor("the end of its readiness", [this] {
-            return status(m_members[0].readiness, "GET", "/v1/readyz") != 200;
-        });
+        waitFor("the end of its readiness",
+                [this] { return status(m_members[0].readiness, "GET", "/v1/readyz") != 200; });
         for (int index = 0; index < 20; ++index) {
             const std::string id = nextJob();
-            CPPUNIT_ASSERT_EQUAL(200, status(m_members[0].callers, "POST", "/draw/" + id,
-                                             jobBody(1)));
+            CPPUNIT_ASSERT_EQUAL(200,
+                                 status(m_members[0].callers, "POST", "/draw/" + id, jobBody(1)));
         }
         const auto code = m_members[0].process->waitForExit(BootClock::now() + generous);
         CPPUNIT_ASSERT(code.ok());
@@ -338,8 +337,8 @@
     {
         onStandins([this] { m_store->faults.refuses = true; });
         const std::string refused = nextJob();
-        CPPUNIT_ASSERT_EQUAL(503, status(m_members[0].callers, "POST", "/draw/" + refused,
-                                         jobBody(1)));
+        CPPUNIT_ASSERT_EQUAL(503,
+                             status(m_members[0].callers, "POST", "/draw/" + refused, jobBody(1)));
         onStandins([this] {
             m_store->faults.refuses = false;
             m_store->faults.lostAnswers = 1;
--- a/tests/usersplatform/tablestore.cpp
+++ b/tests/usersplatform/tablestore.cpp
@@ -44,11 +44,10 @@
 
 absl::Status TableStore::open()
 {
-    auto server = http::Server::create(m_context, {},
-                                       [this](const http::Request &request,
-                                              const http::Responder &respond) {
-                                           handle(request, respond);
-                                       });
+    auto server = http::Server::create(
+            m_context, {}, [this](const http::Request &request, const http::Responder &respond) {
+                handle(request, respond);
+            });
     if (!server.ok())
         return server.status();
     m_server = *std::move(server);
--- a/tests/usersplatform/workers.cpp
+++ b/tests/usersplatform/workers.cpp
@@ -24,11 +24,10 @@
 
 absl::Status Worker::open()
 {
-    auto server = http::Server::create(m_context, {},
-                                       [this](const http::Request &request,
-                                              const http::Responder &respond) {
-                                           handle(request, respond);
-                                       });
+    auto server = http::Server::create(
+            m_context, {}, [this](const http::Request &request, const http::Responder &respond) {
+                handle(request, respond);
+            });
     if (!server.ok())
         return server.status();
     m_server = *std::move(server);
@@ -204,7 +203,8 @@
     extend(body);
     const int64_t seen = body["ackCursor"].asInt64();
     while (!m_ended.empty() && m_ended.front().number <= seen) {
-        if (m_ended.front().how == "done" && m_ledger.acknowledgedDone.insert(m_ended.front().task).second)
+        if (m_ended.front().how == "done"
+            && m_ledger.acknowledgedDone.insert(m_ended.front().task).second)
             ++m_ledger.done;
         m_ended.pop_front();
     }
--- a/tests/usersplatform/workers.h
+++ b/tests/usersplatform/workers.h
@@ -33,7 +33,7 @@
 public:
     Worker(boost::asio::io_context &context, std::string id, Ledger &ledger);
 
-    absl::Status open();     // Errors: as of http::Server
+    absl::Status open();       // Errors: as of http::Server
     std::string entry() const; // for the store's list of workers
     const std::string &id() const { return m_id; }
 
