--- a/src/cell/owner.cpp
+++ b/src/cell/owner.cpp
@@ -1,33 +1,15 @@
 #include "cell/owner.h"
+#include "cell/watch.h"
 
 #include "base/error.h"
 #include "base/json.h"
 #include "node/log.h"
 
-#include <absl/strings/match.h>
-
 #include <algorithm>
 #include <utility>
 
 namespace cwl::cell {
 
-// The look at one worker: one call at a time, so that reports stay in order.
-struct Owner::Watch
-{
-    Watch(boost::asio::io_context &context, WorkerId workerId)
-        : id(std::move(workerId))
-        , timer(context)
-    {
-    }
-
-    WorkerId id;
-    WorkerTarget target = {};
-    Timer timer;
-    bool isWaitingForStore = false;
-    bool isUnreachable = false;
-    TimePoint waitingSince = {};
-};
-
 Owner::Owner(boost::asio::io_context &context, const OwnerOptions &options, TableStore &store,
              WorkerGateway &workers, AdviceService &advice, const RowReader &reader,
              metrics::Registry &metrics)
@@ -209,334 +191,6 @@
               });
 }
 
-// Section: becoming the owner
-
-void Owner::won(Epoch epoch, const OwnerRow &previous)
-{
-    ++m_term;
-    m_takeovers.add();
-    const TimePoint now = BootClock::now();
-    m_termBegan = now;
-    const auto lease =
-            Duration(int64_t(double(m_options.dispatcher.lease.count()) * workerClockMargin));
-    // What the last owner started may run until it has noticed that it is deposed, and a lease
-    // longer. An owner that resigned, or of an empty store, has nothing left to notice.
-    Duration bound = lease + maxStoreAbsence;
-    if (previous.holder.empty())
-        bound = previous.epoch.value() == 0 ? Duration::zero() : lease;
-    m_dispatcher.begin(epoch, now + bound);
-    m_dispatcher.setConfig(m_config);
-    if (!previous.holder.empty())
-        askPredecessor(previous);
-    load();
-    readMembers();
-}
-
-// Asks the owner from time to time whether it still runs, so that the end of its process is noticed
-// before its silence.
-void Owner::probeOwner()
-{
-    after(m_probeTimer, probeInterval, [this] { probeOwner(); });
-    const OwnerRow &owner = m_ownership.owner();
-    if (m_ownership.isOwner() || owner.holder.empty() || owner.address == m_options.address) {
-        // This address was the owner's in an earlier life of this process.
-        if (!m_ownership.isOwner() && owner.address == m_options.address)
-            m_ownership.noteOwnerEnded(owner.epoch);
-        return;
-    }
-    if (m_probeAddress != owner.address) {
-        auto client = http::Client::create(m_context,
-                                           {.address = owner.address,
-                                            .maxConnections = 1,
-                                            .connectTimeout = probeTimeout,
-                                            .traffic = Traffic::RpcControl});
-        if (!client.ok())
-            return;
-        m_probe = *std::move(client);
-        m_probeAddress = owner.address;
-    }
-    http::Request request;
-    request.path = "/cell/owner";
-    m_probe->send(std::move(request), BootClock::now() + probeTimeout,
-                  [this, alive = m_alive,
-                   epoch = owner.epoch](const absl::StatusOr<http::Response> &response) {
-                      if (*alive)
-                          onProbed(epoch, response);
-                  });
-}
-
-void Owner::onProbed(Epoch epoch, const absl::StatusOr<http::Response> &response)
-{
-    if (!response.ok()) {
-        const Failure failure = failureOf(response.status());
-        if (failure == Failure::ConnectionRefused || failure == Failure::ConnectionLost)
-            m_ownership.noteOwnerEnded(epoch);
-        return;
-    }
-    const absl::StatusOr<Json::Value> value = parseJson(response->body);
-    if (response->status == 200 && value.ok() && (*value)["epoch"].asInt64() != epoch.value())
-        m_ownership.noteOwnerEnded(epoch);
-}
-
-// A member at the last owner's address that does not hold its epoch proves that it has stopped.
-// Asked until there is an answer: the process may be starting again.
-void Owner::askPredecessor(const OwnerRow &previous)
-{
-    auto client = http::Client::create(m_context,
-                                       {.address = previous.address,
-                                        .connectTimeout = predecessorTimeout,
-                                        .traffic = Traffic::RpcControl});
-    if (!client.ok()) {
-        log::warn("predecessor_address_invalid", {{"error", client.status()}});
-        return;
-    }
-    m_predecessor = *std::move(client);
-    sendToPredecessor(previous.epoch);
-}
-
-void Owner::sendToPredecessor(Epoch epoch)
-{
-    http::Request request;
-    request.path = "/cell/owner";
-    m_predecessor->send(std::move(request), BootClock::now() + predecessorTimeout,
-                        [this, alive = m_alive, term = m_term,
-                         epoch](const absl::StatusOr<http::Response> &response) {
-                            if (*alive && term == m_term)
-                                onPredecessor(epoch, response);
-                        });
-}
-
-void Owner::onPredecessor(Epoch epoch, const absl::StatusOr<http::Response> &response)
-{
-    const auto value = response.ok() ? parseJson(response->body)
-                                     : absl::StatusOr<Json::Value>(response.status());
-    const bool hasStopped =
-            value.ok() && response->status == 200 && (*value)["epoch"].asInt64() != epoch.value();
-    if (!hasStopped) {
-        log::info("predecessor_silent",
-                  {{"epoch", epoch.value()},
-                   {"error", value.ok() ? absl::OkStatus() : value.status()}});
-        after(m_predecessorTimer, predecessorInterval, [this, term = m_term, epoch] {
-            if (term == m_term && m_ownership.isOwner())
-                sendToPredecessor(epoch);
-        });
-        return;
-    }
-    const auto lease =
-            Duration(int64_t(double(m_options.dispatcher.lease.count()) * workerClockMargin));
-    m_dispatcher.setPredecessorEnds(BootClock::now() + lease);
-    log::info("predecessor_stopped", {{"epoch", epoch.value()}});
-}
-
-void Owner::retryLoad()
-{
-    after(m_loadTimer, storeRetryPause, [this, term = m_term] {
-        if (term == m_term && m_ownership.isOwner())
-            load();
-    });
-}
-
-void Owner::load()
-{
-    const uint64_t term = m_term;
-    readParts(m_store, progressTable, {ownerPart},
-              [this, alive = m_alive, term](const absl::StatusOr<Page> &page) {
-                  if (!*alive || term != m_term || !m_ownership.isOwner())
-                      return;
-                  if (!page.ok()) {
-                      log::info("load_failed", {{"error", page.status()}});
-                      retryLoad();
-                      return;
-                  }
-                  onProgress(*page);
-              });
-}
-
-void Owner::onProgress(const Page &page)
-{
-    m_loadedProgress.clear();
-    for (const Row &row : page.rows) {
-        absl::StatusOr<jobs::Progress> progress = jobs::decodeProgress(row.value);
-        if (!progress.ok()) {
-            log::error("progress_unreadable", {{"job", row.key}, {"error", progress.status()}});
-            continue;
-        }
-        m_loadedProgress.emplace(row.key, *std::move(progress));
-    }
-    const uint64_t term = m_term;
-    readParts(m_store, ownerTable, {ownerPart},
-              [this, alive = m_alive, term](const absl::StatusOr<Page> &rows) {
-                  if (!*alive || term != m_term || !m_ownership.isOwner())
-                      return;
-                  if (!rows.ok()) {
-                      retryLoad();
-                      return;
-                  }
-                  onOwnerRows(*rows);
-              });
-}
-
-void Owner::onOwnerRows(const Page &page)
-{
-    m_usedWorkers.clear();
-    for (const Row &row : page.rows) {
-        if (row.key != workersKey)
-            continue;
-        const absl::StatusOr<Json::Value> value = parseJson(row.value);
-        if (!value.ok() || !value->isObject()) {
-            log::error("used_workers_unreadable", {{"revision", row.revision.value()}});
-            continue;
-        }
-        for (const std::string &id : value->getMemberNames())
-            m_usedWorkers[id] = (*value)[id].asString();
-    }
-    std::vector<std::string> parts;
-    for (size_t number = 0; number < jobParts; ++number)
-        parts.push_back(jobPartName(number));
-    m_jobsFollower = std::make_unique<TableFollower>(
-            m_context, m_store, FollowOptions{.table = jobsTable, .parts = parts},
-            FollowEvents{[this](std::vector<Row> rows) { onJobsSnapshot(std::move(rows)); },
-                         [this](const std::vector<Row> &rows) { onJobsChanged(rows); }});
-    m_jobsFollower->start();
-}
-
-void Owner::onJobsSnapshot(std::vector<Row> rows)
-{
-    if (m_isActive) { // after a gap in the history: what is known already changes nothing
-        onJobsChanged(rows);
-        return;
-    }
-    const TimePoint now = BootClock::now();
-    const UnixMilliseconds wallNow = UnixMilliseconds::now();
-    std::unordered_map<std::string, bool> cancelled;
-    for (const Row &row : rows) {
-        if (absl::EndsWith(row.key, cancelSuffix))
-            cancelled[row.key.substr(0, row.key.find('!'))] = true;
-    }
-    for (const Row &row : rows) {
-        if (absl::EndsWith(row.key, cancelSuffix))
-            continue;
-        absl::StatusOr<jobs::JobSpec> spec = jobs::decodeJob(row.value);
-        if (!spec.ok()) {
-            log::error("job_unreadable", {{"job", row.key}, {"error", spec.status()}});
-            continue;
-        }
-        std::optional<jobs::Progress> progress;
-        const auto loaded = m_loadedProgress.find(row.key);
-        if (loaded != m_loadedProgress.end())
-            progress = std::move(loaded->second);
-        m_dispatcher.restoreJob(*std::move(spec), progress, cancelled.contains(row.key), now,
-                                wallNow);
-    }
-    m_loadedProgress.clear();
-    m_isActive = true;
-    // Workers that an earlier owner used may run its tasks though they have left the list.
-    for (const auto &[id, address] : m_usedWorkers) {
-        jobs::WorkerEntry entry;
-        entry.id = WorkerId(id);
-        entry.address = address;
-        m_dispatcher.putWorker(entry, now);
-        m_dispatcher.unlistWorker(entry.id, now);
-        watch(entry.id);
-    }
-    log::info("jobs_loaded",
-              {{"rows", rows.size()},
-               {"workers", m_usedWorkers.size()},
-               {"epoch", m_ownership.epoch().value()},
-               {"time", now - m_termBegan}});
-    m_recoveryTime.observe(now - m_termBegan);
-    m_workersFollower = std::make_unique<TableFollower>(
-            m_context, m_store, FollowOptions{.table = m_reader.workersTable},
-            FollowEvents{[this](const std::vector<Row> &found) { onWorkers(found, true); },
-                         [this](const std::vector<Row> &changed) { onWorkers(changed, false); }});
-    m_workersFollower->start();
-    tick();
-}
-
-void Owner::onJobsChanged(const std::vector<Row> &rows)
-{
-    const TimePoint now = BootClock::now();
-    for (const Row &row : rows) {
-        if (row.isDeleted)
-            continue;
-        if (absl::EndsWith(row.key, cancelSuffix)) {
-            m_dispatcher.cancelJob(JobId(row.key.substr(0, row.key.find('!'))), now);
-            continue;
-        }
-        if (!m_dispatcher.jobState(JobId(row.key)))
-            addJob(row.value, row.key.c_str());
-    }
-    scheduleDecision();
-}
-
-void Owner::addJob(const std::string &row, const char *source)
-{
-    absl::StatusOr<jobs::JobSpec> spec = jobs::decodeJob(row);
-    if (!spec.ok()) {
-        log::error("job_unreadable", {{"source", source}, {"error", spec.status()}});
-        return;
-    }
-    m_dispatcher.addJob(*std::move(spec), BootClock::now());
-}
-
-void Owner::noteAccepted(const std::string &row)
-{
-    if (!m_isActive)
-        return;
-    addJob(row, "member");
-    scheduleDecision();
-}
-
-void Owner::onWorkers(const std::vector<Row> &rows, bool isSnapshot)
-{
-    const TimePoint now = BootClock::now();
-    std::unordered_map<std::string, bool> listed;
-    for (const Row &row : rows) {
-        if (row.isDeleted) {
-            m_dispatcher.unlistWorker(WorkerId(row.key), now);
-            continue;
-        }
-        const absl::StatusOr<jobs::WorkerEntry> entry = m_reader.worker(row.key, row.value);
-        if (!entry.ok()) {
-            log::info("worker_entry_unreadable", {{"worker", row.key}, {"error", entry.status()}});
-            continue;
-        }
-        listed[row.key] = true;
-        m_dispatcher.putWorker(*entry, now);
-        std::string &address = m_usedWorkers[row.key];
-        if (address != entry->address) {
-            address = entry->address;
-            m_usedWorkersChanged = true;
-        }
-        watch(entry->id);
-    }
-    if (isSnapshot) {
-        for (const WorkerId &id : m_dispatcher.knownWorkers()) {
-            if (!listed.contains(id.value()))
-                m_dispatcher.unlistWorker(id, now);
-        }
-    }
-    scheduleDecision();
-}
-
-void Owner::lost(const char *reason)
-{
-    ++m_term;
-    m_isActive = false;
-    m_jobsFollower.reset();
-    m_workersFollower.reset();
-    for (const auto &[id, entry] : m_watches)
-        m_gateway.forget(entry->target);
-    m_watches.clear();
-    m_tickTimer.cancel();
-    m_decideTimer.cancel();
-    m_storeTimer.cancel();
-    m_isDecisionDue = false;
-    m_membersTimer.cancel();
-    m_dispatcher.begin(Epoch(), BootClock::now());
-    log::info("owner_stopped", {{"reason", reason}});
-}
-
 // Section: running
 
 void Owner::tick()
@@ -655,7 +309,7 @@
 {
     const TimePoint now = BootClock::now();
     if (!m_isActive || m_ownership.isCommitting()
-        || (!m_dispatcher.hasUnstored() && !m_usedWorkersChanged))
+        || (!m_dispatcher.hasUnstored() && !m_usedWorkersChanged && m_removals.empty()))
         return;
     if (now - m_lastStore < commitGap) {
         after(m_storeTimer, commitGap - (now - m_lastStore), [this] { store(); });
@@ -673,13 +327,18 @@
         writes.push_back({ownerTable, ownerPart, workersKey, writeJson(value)});
         m_usedWorkersChanged = false;
     }
+    std::vector<Row> removals;
+    while (!m_removals.empty() && removals.size() < maxRemovals) {
+        removals.push_back(std::move(m_removals.back()));
+        m_removals.pop_back();
+    }
     m_lastStore = now;
-    if (writes.empty()) { // the ends changed nothing that is stored
+    if (writes.empty() && removals.empty()) { // the ends changed nothing that is stored
         onStored(batch);
         return;
     }
     const bool isSent = m_ownership.commit(
-            std::move(writes), {},
+            std::move(writes), std::move(removals),
             [this, alive = m_alive, term = m_term, batch = std::move(batch), now] {
                 if (!*alive || term != m_term)
                     return;
@@ -715,6 +374,7 @@
         log::info("worker_forgotten", {{"worker", id.value()}});
     }
     for (const JobId &id : m_dispatcher.takeExpired(now)) {
+        m_removals.push_back({progressTable, ownerPart, id.value()});
         Transaction transaction;
         transaction.removals = {{jobsTable, jobPart(id), id.value()},
                                 {jobsTable, jobPart(id), id.value() + cancelSuffix}};
@@ -727,91 +387,4 @@
     }
 }
 
-// Section: looks at workers
-
-void Owner::watch(const WorkerId &id)
-{
-    const jobs::Worker *const worker = m_dispatcher.findWorker(id);
-    std::shared_ptr<Watch> &entry = m_watches[id.value()];
-    if (entry) {
-        if (entry->target.address != worker->entry.address) {
-            m_gateway.forget(entry->target);
-            entry->target.address = worker->entry.address;
-        }
-        return;
-    }
-    entry = std::make_shared<Watch>(m_context, id);
-    entry->target = {id, worker->entry.address};
-    sendWatch(entry);
-}
-
-void Owner::sendWatch(const std::shared_ptr<Watch> &entry)
-{
-    const TimePoint now = BootClock::now();
-    if (!m_isActive || !m_ownership.isValid(now) || !m_dispatcher.findWorker(entry->id))
-        return;
-    entry->isWaitingForStore = false;
-    const jobs::Worker &worker = *m_dispatcher.findWorker(entry->id);
-    const jobs::WatchOrder order = m_dispatcher.watchOrder(entry->id, now);
-    // The first look fences the worker and must not wait; ends that are not acknowledged yet would
-    // end the wait at once.
-    const bool waits = worker.isRead && worker.endsProcessed == worker.endsAcknowledged;
-    const Duration wait = waits ? watchWait : Duration::zero();
-    m_gateway.watch(entry->target, order, m_ownership.epoch(), wait, now + wait + watchAnswerLimit,
-                    [this, alive = m_alive, term = m_term, entry, now](const WatchResult &result) {
-                        if (!*alive || term != m_term || isFenced(result.answer))
-                            return;
-                        onWatched(entry, now, result);
-                    });
-}
-
-void Owner::onWatched(const std::shared_ptr<Watch> &entry, TimePoint sentAt,
-                      const WatchResult &result)
-{
-    const TimePoint now = BootClock::now();
-    const jobs::Worker *const worker = m_dispatcher.findWorker(entry->id);
-    if (!worker)
-        return;
-    if (result.answer != jobs::OrderAnswer::Accepted) {
-        m_dispatcher.onLookFailed(entry->id);
-        if (!std::exchange(entry->isUnreachable, true))
-            log::info("worker_unreachable",
-                      {{"worker", entry->id.value()},
-                       {"answer", orderAnswerName(result.answer)},
-                       {"report_age", now - worker->lastReport},
-                       {"runs", worker->runs.size()}});
-        after(entry->timer, watchRetryPause, [this, entry] { sendWatch(entry); });
-        return;
-    }
-    if (std::exchange(entry->isUnreachable, false))
-        log::info("worker_reachable", {{"worker", entry->id.value()}});
-    m_endsSeen.add();
-    m_dispatcher.onReport(entry->id, result.report, sentAt, now);
-    scheduleDecision();
-    if (worker->endsProcessed == worker->endsAcknowledged) {
-        sendWatch(entry);
-        return;
-    }
-    entry->isWaitingForStore = true;
-    entry->waitingSince = now;
-    after(entry->timer, acknowledgeLimit, [this, entry] {
-        if (entry->isWaitingForStore)
-            sendWatch(entry);
-    });
-}
-
-void Owner::resumeWatches()
-{
-    std::vector<std::shared_ptr<Watch>> ready;
-    for (const auto &[id, entry] : m_watches) {
-        const jobs::Worker *const worker = m_dispatcher.findWorker(entry->id);
-        if (entry->isWaitingForStore && worker && worker->endsProcessed == worker->endsAcknowledged)
-            ready.push_back(entry);
-    }
-    for (const std::shared_ptr<Watch> &entry : ready) {
-        entry->timer.cancel();
-        sendWatch(entry);
-    }
-}
-
 } // namespace cwl::cell
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -34,6 +34,7 @@
 constexpr Duration commitGap = milliseconds(12);         // ends that arrive together, one write
 constexpr Duration acknowledgeLimit = milliseconds(400); // a look waits so long for a write
 constexpr Duration membersInterval = seconds(2);         // between looks at the members' table
+constexpr size_t maxRemovals = 15;                       // in one write, beside the other rows
 constexpr Duration expiryInterval = seconds(5);          // between removals of old jobs
 constexpr Duration predecessorTimeout = milliseconds(500);
 constexpr Duration predecessorInterval = milliseconds(300); // between questions to the last owner
@@ -80,7 +81,7 @@
     using Timer = boost::asio::basic_waitable_timer<BootClock>;
     struct Watch;
 
-    // Section: becoming the owner (owner.cpp)
+    // Section: becoming the owner (ownerload.cpp)
     void won(Epoch epoch, const OwnerRow &previous);
     void lost(const char *reason);
     void load();
@@ -114,7 +115,7 @@
     void expire();
     void tick();
 
-    // Section: looks at workers
+    // Section: looks at workers (ownerwatch.cpp)
     void watch(const WorkerId &id);
     void sendWatch(const std::shared_ptr<Watch> &entry);
     void onWatched(const std::shared_ptr<Watch> &entry, TimePoint sentAt,
@@ -141,6 +142,7 @@
     std::shared_ptr<http::Client> m_predecessor;
     std::shared_ptr<http::Client> m_probe; // to the owner
     std::string m_probeAddress;
+    std::vector<Row> m_removals; // progress of jobs that nobody can ask for any more
     bool m_usedWorkersChanged = false;
     bool m_isActive = false;
     bool m_isDecisionDue = false;
--- /dev/null
+++ b/src/cell/watch.h
@@ -0,0 +1,28 @@
+// The look at one worker. Internal to this library.
+
+#pragma once
+
+#include "cell/owner.h"
+
+#include <utility>
+
+namespace cwl::cell {
+
+// The look at one worker: one call at a time, so that reports stay in order.
+struct Owner::Watch
+{
+    Watch(boost::asio::io_context &context, WorkerId workerId)
+        : id(std::move(workerId))
+        , timer(context)
+    {
+    }
+
+    WorkerId id;
+    WorkerTarget target = {};
+    Timer timer;
+    bool isWaitingForStore = false;
+    bool isUnreachable = false;
+    TimePoint waitingSince = {};
+};
+
+} // namespace cwl::cell
--- /dev/null
+++ b/src/jobs/advice.cpp
@@ -0,0 +1,213 @@
+// Questions to the advice service: about which workers, when, and what the answers mean.
+
+#include "jobs/dispatcher.h"
+#include "jobs/fit.h"
+
+#include "node/log.h"
+
+#include <algorithm>
+
+namespace cwl::jobs {
+
+namespace {
+
+constexpr double firstAllowedShare = 0.5;  // of the workers asked about, before any answer
+constexpr double allowedShareWeight = 0.1; // of the newest answer
+constexpr double adviceSurplus = 1.4;      // places asked for, against places needed
+constexpr double leastAllowedShare = 0.1;
+constexpr int adviceRepeatFactor = 3; // pause between questions, against the time of one
+constexpr Duration adviceRetryPause = milliseconds(100);
+constexpr Duration adviceEarly = milliseconds(60); // before the step is expected to be ready
+
+} // namespace
+
+// Section: advice
+
+// Tasks of the step that the workers known to be allowed could hold if they were empty.
+int64_t Dispatcher::allowedPlaces(const Candidate &candidate, TimePoint now) const
+{
+    const Step &step = candidate.job->spec.steps[candidate.step];
+    const StepState &state = candidate.occurrence->steps[candidate.step];
+    int64_t places = 0;
+    for (const auto &[id, worker] : m_workers) {
+        if (isUsable(*worker, candidate, now)
+            && (!candidate.job->spec.queue.advice || state.advice.allowed.contains(id)))
+            places += tasksThatFit(worker->entry.capacity, step);
+    }
+    return places;
+}
+
+// Workers that advice is to be asked about: those known to be allowed whose tickets have ended, and
+// others, the best first, until enough places can be expected.
+std::vector<WorkerId> Dispatcher::chooseAsked(const Candidate &candidate, TimePoint now)
+{
+    StepState &state = candidate.occurrence->steps[candidate.step];
+    const Step &step = candidate.job->spec.steps[candidate.step];
+    const bool isFirst = state.advice.asked.empty();
+    struct Choice
+    {
+        const Worker *worker;
+        double score;
+        bool isAllowed;
+        int64_t fits;
+    };
+    // A gang that the workers known to be allowed can't hold even when empty needs others.
+    const bool asksAll = isFirst || (step.gang && allowedPlaces(candidate, now) < step.count);
+    std::vector<Choice> choices;
+    int64_t placesNow = 0;
+    for (const auto &[id, worker] : m_workers) {
+        if (!isUsable(*worker, candidate, now) || !step.each.fitsIn(worker->entry.capacity))
+            continue;
+        const auto asked = state.advice.asked.find(id);
+        const bool isAllowed = asked != state.advice.asked.end() && asked->second;
+        if ((asked != state.advice.asked.end() && !isAllowed) || findTicket(state, *worker, now))
+            continue;
+        const int64_t fits =
+                hasRoom(*worker, step) || step.gang ? tasksThatFit(comingRoom(*worker), step) : 0;
+        placesNow += fits;
+        if (fits == 0 && !asksAll && !isAllowed)
+            continue;
+        const double value = score(*worker, candidate, state.tasks[0]) + (isAllowed ? 5 : 0)
+                - (fits > 0 ? 0 : 10);
+        choices.push_back({worker.get(), value, isAllowed, fits});
+    }
+    // Tickets are for a start at once. The first answer also tells where to wait for room.
+    const int64_t needed = step.gang ? step.count : 1;
+    if (!asksAll && placesNow < needed)
+        return {};
+    std::sort(choices.begin(), choices.end(),
+              [](const Choice &a, const Choice &b) { return a.score > b.score; });
+    const double share =
+            std::max(leastAllowedShare,
+                     m_allowedShare.emplace(candidate.job->spec.queue.name, firstAllowedShare)
+                             .first->second);
+    const double wanted = state.waiting * adviceSurplus + 1;
+    double expected = 0;
+    std::vector<WorkerId> workers;
+    for (const Choice &choice : choices) {
+        if (expected >= wanted || workers.size() == maxAdviceWorkers)
+            break;
+        workers.push_back(choice.worker->entry.id);
+        expected += double(std::max<int64_t>(choice.fits, step.gang ? 1 : 0))
+                * (choice.isAllowed ? 1.0 : share);
+    }
+    return workers;
+}
+
+void Dispatcher::askAdvice(const Candidate &candidate, Orders &orders, TimePoint now)
+{
+    StepState &state = candidate.occurrence->steps[candidate.step];
+    if (state.advice.isAsking || now < state.advice.retryAt)
+        return;
+    AdviceQuery query;
+    query.workers = chooseAsked(candidate, now);
+    if (query.workers.empty())
+        return;
+    const AdvicePolicy &policy = *candidate.job->spec.queue.advice;
+    query.step = {candidate.job->spec.id, candidate.occurrence->number, candidate.step, 0};
+    query.priority = candidate.job->spec.steps[candidate.step].lasting
+            ? -1
+            : candidate.job->spec.queue.priority;
+    query.expected = policy.decision + policy.perWorker * int64_t(query.workers.size());
+    state.advice.isAsking = true;
+    log::info("advice_asked",
+              {{"step", query.step.stepText()},
+               {"workers", query.workers.size()},
+               {"waiting", state.waiting},
+               {"expected", query.expected}});
+    orders.queries.push_back(std::move(query));
+}
+
+// Asks for the steps that are about to become ready, so that the answer is there in time.
+void Dispatcher::askEarly(Job &job, Orders &orders, TimePoint now)
+{
+    if (!job.spec.queue.advice || isFinal(job.state))
+        return;
+    for (Occurrence &occurrence : job.occurrences) {
+        for (uint32_t number = 0; number < occurrence.steps.size() && !occurrence.isDone;
+             ++number) {
+            StepState &state = occurrence.steps[number];
+            const std::vector<uint32_t> &after = job.spec.steps[number].after;
+            if (state.waiting == 0 || state.advice.isAsking || after.empty()
+                || !state.advice.asked.empty() || isReady(occurrence, job, number))
+                continue;
+            Duration remaining = {};
+            bool isNear = true;
+            for (const uint32_t before : after) {
+                if (before >= occurrence.steps.size())
+                    continue;
+                const StepState &earlier = occurrence.steps[before];
+                if (earlier.waiting > 0) {
+                    isNear = false;
+                    break;
+                }
+                for (uint32_t index = 0; index < earlier.tasks.size(); ++index) {
+                    const Task &task = earlier.tasks[index];
+                    if (task.phase != Task::Phase::Active)
+                        continue;
+                    const TaskAddress address = {job.spec.id, occurrence.number, before, index};
+                    const auto run = task.worker->runs.find(address.text());
+                    if (run != task.worker->runs.end())
+                        remaining = std::max(remaining,
+                                             remainingOf(run->second, job.spec.steps[before], now));
+                }
+            }
+            const AdvicePolicy &policy = *job.spec.queue.advice;
+            const Duration lead = policy.decision
+                    + policy.perWorker * int64_t(std::min<size_t>(m_workers.size(), 20))
+                    + adviceEarly;
+            if (isNear && remaining <= std::max(lead, policy.validity / 3))
+                askAdvice({0, &job, &occurrence, number}, orders, now);
+        }
+    }
+}
+
+void Dispatcher::onAdvice(const AdviceQuery &query, const std::vector<AllowedWorker> &allowed,
+                          TimePoint now)
+{
+    Job *const job = findJob(query.step.job);
+    StepState *const step = job ? findStep(*job, query.step) : nullptr;
+    if (!step)
+        return;
+    step->advice.isAsking = false;
+    // A step that finds no room with these tickets asks again once most of their time is over.
+    step->advice.retryAt = now + adviceRepeatFactor * query.expected;
+    const Duration validity =
+            job->spec.queue.advice ? job->spec.queue.advice->validity : Duration::zero();
+    size_t news = 0;
+    size_t newsAllowed = 0;
+    for (const WorkerId &id : query.workers) {
+        if (step->advice.asked.emplace(id.value(), false).second)
+            ++news;
+    }
+    for (const AllowedWorker &entry : allowed) {
+        const Worker *const worker = findWorker(entry.worker);
+        if (!worker)
+            continue;
+        newsAllowed += step->advice.asked[entry.worker.value()] ? 0 : 1;
+        step->advice.asked[entry.worker.value()] = true;
+        step->advice.allowed[entry.worker.value()] = {entry.ticket, now + validity - ticketMargin,
+                                                      worker->born};
+    }
+    if (news > 0) {
+        double &share =
+                m_allowedShare.emplace(job->spec.queue.name, firstAllowedShare).first->second;
+        share += allowedShareWeight * (double(newsAllowed) / double(news) - share);
+    }
+    log::info("advice_received",
+              {{"step", query.step.stepText()},
+               {"asked", query.workers.size()},
+               {"allowed", allowed.size()}});
+}
+
+void Dispatcher::onAdviceFailed(const AdviceQuery &query, TimePoint now)
+{
+    Job *const job = findJob(query.step.job);
+    StepState *const step = job ? findStep(*job, query.step) : nullptr;
+    if (!step)
+        return;
+    step->advice.isAsking = false;
+    step->advice.retryAt = now + adviceRetryPause;
+}
+
+} // namespace cwl::jobs
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -90,9 +90,7 @@
         worker->lastReport = now;
     }
     const bool beganDraining = entry.isDraining && !worker->entry.isDraining;
-    const Resources capacity = entry.capacity;
     worker->entry = entry;
-    worker->entry.capacity = capacity;
     worker->isListed = true;
     if (entry.isDraining && entry.remaining)
         worker->drainDeadline = now + *entry.remaining;
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -245,7 +245,7 @@
     void noteFailed(Job &job, const TaskAddress &address, int64_t attempt, Worker &worker,
                     TimePoint now);
     void noteRunning(Worker &worker, const RunningTask &running, TimePoint now);
-    void checkUnlisted(Worker &worker, const WorkerReport &report, TimePoint sentAt, TimePoint now);
+    void checkUnlisted(Worker &worker, const WorkerReport &report, TimePoint sentAt);
     void stopGang(Job &job, const TaskAddress &member);
     void checkStall(Worker &worker, Run &run, TimePoint now);
     StepState *findStep(Job &job, const TaskAddress &address);
@@ -253,6 +253,9 @@
     const Step &stepSpec(const Job &job, const TaskAddress &address) const;
 
     // Section: placement (placement.cpp)
+    void countRooms();
+    bool isSettled(TimePoint now);
+    bool isReady(const Occurrence &occurrence, const Job &job, uint32_t step) const;
     std::vector<Candidate> candidates(TimePoint now);
     void reportRooms(TimePoint now);
     void place(const Candidate &candidate, Orders &orders, TimePoint now);
@@ -263,23 +266,24 @@
     bool hasRoom(const Worker &worker, const Step &step) const;
     double score(const Worker &worker, const Candidate &candidate, const Task &task) const;
     const Ticket *findTicket(const StepState &step, const Worker &worker, TimePoint now) const;
-    TimePoint whenRoom(const Worker &worker, const Step &step, TimePoint now) const;
-    void reserve(const Candidate &candidate, TimePoint now);
     void start(const Candidate &candidate, uint32_t index, Worker &worker, int64_t attempt,
                Orders &orders, TimePoint now);
+    int64_t leaseDeadline(Worker &worker, TimePoint now);
+    TimePoint whenRoom(const Worker &worker, const Step &step, TimePoint now) const;
+    void reserve(const Candidate &candidate, TimePoint now);
+
+    // Section: taking runs away (preemption.cpp)
     std::vector<Run *> victimsOn(Worker &worker, const Candidate &candidate, TimePoint now);
     void preempt(const Candidate &candidate, TimePoint now);
+    void repeatStops(Orders &orders, TimePoint now);
+    void evacuate(Worker &worker, TimePoint now);
+    void controlPace(Worker &worker, Orders &orders, TimePoint now);
+
+    // Section: advice (advice.cpp)
     int64_t allowedPlaces(const Candidate &candidate, TimePoint now) const;
     std::vector<WorkerId> chooseAsked(const Candidate &candidate, TimePoint now);
     void askAdvice(const Candidate &candidate, Orders &orders, TimePoint now);
     void askEarly(Job &job, Orders &orders, TimePoint now);
-    int64_t leaseDeadline(Worker &worker, TimePoint now);
-    bool isReady(const Occurrence &occurrence, const Job &job, uint32_t step) const;
-    bool isSettled(TimePoint now);
-    void repeatStops(Orders &orders, TimePoint now);
-    void evacuate(Worker &worker, TimePoint now);
-    void controlPace(Worker &worker, Orders &orders, TimePoint now);
-    void countRooms();
 
     const DispatcherSettings m_settings;
     Epoch m_epoch;
@@ -292,7 +296,7 @@
     std::unordered_map<std::string, Job *> m_dirty;
     bool m_hasUnstoredEnds = false;
     std::unordered_map<std::string, ServiceRoom> m_rooms;
-    std::unordered_map<const Worker *, const Job *> m_reserved; // for gangs, during one pass
+    std::unordered_map<const Worker *, const Job *> m_reserved; // for large tasks, during one pass
     std::unordered_map<std::string, double> m_allowedShare;     // by queue, smoothed
     TimePoint m_ownerAt = {}; // this owner's last write that took effect was sent then
     TimePoint m_roomsReported = {};
--- /dev/null
+++ b/src/jobs/fit.cpp
@@ -0,0 +1,56 @@
+#include "jobs/fit.h"
+
+#include <algorithm>
+
+namespace cwl::jobs {
+
+Duration remainingOf(const Run &run, const Step &spec, TimePoint now)
+{
+    if (run.confirmedAt == TimePoint())
+        return spec.estimate;
+    const Duration elapsed = now - run.confirmedAt;
+    if (run.percent > 5 && run.percent < 100)
+        return elapsed * (100 - run.percent) / run.percent;
+    return std::max(Duration::zero(), spec.estimate - elapsed);
+}
+
+int64_t tasksThatFit(const Resources &room, const Step &step)
+{
+    int64_t fits = step.maxPerWorker > 0 ? step.maxPerWorker : step.count;
+    if (step.each.cores.value() > 0 && !step.fill)
+        fits = std::min(fits, room.cores.value() / step.each.cores.value());
+    if (step.each.memory.value() > 0)
+        fits = std::min(fits, room.memory.value() / step.each.memory.value());
+    if (step.each.accelerators.value() > 0)
+        fits = std::min(fits, room.accelerators.value() / step.each.accelerators.value());
+    return std::max<int64_t>(0, fits);
+}
+
+bool isLarge(const Step &step, const Worker &worker)
+{
+    const Resources &all = worker.entry.capacity;
+    return step.each.fitsIn(all)
+            && (2 * step.each.cores.value() >= all.cores.value()
+                || 2 * step.each.memory.value() >= all.memory.value()
+                || (all.accelerators.value() > 0
+                    && 2 * step.each.accelerators.value() >= all.accelerators.value()));
+}
+
+bool hasLabel(const Worker &worker, const std::string &label)
+{
+    return label.empty()
+            || std::find(worker.entry.labels.begin(), worker.entry.labels.end(), label)
+            != worker.entry.labels.end();
+}
+
+Resources comingRoom(const Worker &worker)
+{
+    Resources room = freeRoom(worker);
+    for (const auto &[task, run] : worker.runs) {
+        if (run.phase == RunPhase::Stopping)
+            room = room + run.room;
+    }
+    return room;
+}
+
+} // namespace cwl::jobs
--- a/src/jobs/runs.cpp
+++ b/src/jobs/runs.cpp
@@ -124,7 +124,6 @@
         if (run != task.worker->runs.end())
             run->second.phase = RunPhase::Stopping;
     }
-    findStep(job, member)->retryAt = std::max(findStep(job, member)->retryAt, TimePoint());
 }
 
 // Section: ends
@@ -331,8 +330,7 @@
 
 // A run that is certain to have begun or to have been refused for good, and is not listed any
 // more, is over.
-void Dispatcher::checkUnlisted(Worker &worker, const WorkerReport &report, TimePoint sentAt,
-                               TimePoint now)
+void Dispatcher::checkUnlisted(Worker &worker, const WorkerReport &report, TimePoint sentAt)
 {
     std::unordered_map<std::string, int64_t> listed;
     for (const RunningTask &running : report.running)
@@ -355,7 +353,6 @@
             stopGang(*run.job, run.address);
         removeRun(worker, task);
     }
-    (void)now;
 }
 
 void Dispatcher::checkStall(Worker &worker, Run &run, TimePoint now)
@@ -406,7 +403,7 @@
     }
     for (const RunningTask &running : report.running)
         noteRunning(worker, running, now);
-    checkUnlisted(worker, report, sentAt, now);
+    checkUnlisted(worker, report, sentAt);
     for (auto &[task, run] : worker.runs)
         checkStall(worker, run, now);
 }
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -39,9 +39,8 @@
     int64_t percent = 0;
     TimePoint percentAt = {}; // when it last changed
     int64_t figure = 0;
-    int64_t pace = 100; // percent of full speed
-    TimePoint overSince =
-            {}; // serving task: its tail has been over the target since; zero: it is not
+    int64_t pace = 100;     // percent of full speed
+    TimePoint pacedAt = {}; // when its pace was last changed
 };
 
 // Section: jobs
