Keep reserved workers open for equally urgent work

Change: a reservation holds against less urgent queues only; the most urgent reservation stands. Its test failed before.

--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -182,7 +182,8 @@
     if (!hasLabel(worker, step.label))
         return false;
     const auto reserved = m_reserved.find(&worker);
-    if (reserved != m_reserved.end() && reserved->second != candidate.job)
+    if (reserved != m_reserved.end()
+        && reserved->second->spec.queue.priority < candidate.job->spec.queue.priority)
         return false;
     if (step.maxPerWorker == 0)
         return true;
@@ -434,7 +435,7 @@
     for (const auto &[when, worker] : places) {
         if (found >= state.waiting || m_reserved.size() >= most)
             return;
-        m_reserved[worker] = candidate.job;
+        m_reserved.emplace(worker, candidate.job);
         found += uint32_t(
                 std::clamp<int64_t>(tasksThatFit(worker->entry.capacity, step), 1, step.count));
     }
--- a/tests/jobs/dispatcher_test.cpp
+++ b/tests/jobs/dispatcher_test.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(looksWithoutAnswerRenewNothing);
     CPPUNIT_TEST(restartedWorkerWaitsForAWriteToTheStore);
     CPPUNIT_TEST(lastingTaskUsesRoomThatIsKeptForUrgentOnes);
+    CPPUNIT_TEST(reservedWorkerStaysOpenForEquallyUrgentWork);
     CPPUNIT_TEST(drainingWorkerGetsNoStart);
     CPPUNIT_TEST(gangStartsAsAWhole);
     CPPUNIT_TEST(stepWithAdviceStartsOnlyWithTicket);
@@ -219,6 +220,26 @@
         CPPUNIT_ASSERT_EQUAL(std::string("lasting.0.0.0"), orders.starts[0].task);
     }
 
+    // Guards against urgent work that waits beside free room because a larger task of its own queue
+    // waits for the same worker; less urgent work does wait.
+    void reservedWorkerStaysOpenForEquallyUrgentWork()
+    {
+        putWorker("a", 10000);
+        report("a", 10);
+        JobSpec running = makeJob("running", 1, 6000);
+        m_dispatcher.addJob(running, at(10));
+        CPPUNIT_ASSERT_EQUAL(size_t(1), decide(20).starts.size());
+        m_dispatcher.addJob(makeJob("large", 1, 8000), at(30)); // waits for most of the worker
+        JobSpec less = makeJob("less", 1, 1000);
+        less.queue.priority = 2;
+        m_dispatcher.addJob(less, at(30));
+        CPPUNIT_ASSERT(decide(40).starts.empty());
+        m_dispatcher.addJob(makeJob("small", 1, 1000), at(41));
+        const Orders orders = decide(50);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), orders.starts.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("small.0.0.0"), orders.starts[0].task);
+    }
+
     void drainingWorkerGetsNoStart()
     {
         putWorker("a", 1000, true);
