Let large instances own the cell; small ones leave the takeover to them

Change: the owner's row names its processor share. A member of less than two thirds of it waits 0.9 s longer before it takes over and does not ask the owner whether it runs; an owner resigns for a much larger member that asks.

--- a/src/cell/member.cpp
+++ b/src/cell/member.cpp
@@ -5,6 +5,7 @@
 #include "base/random.h"
 #include "node/log.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <boost/asio/post.hpp>
 
@@ -51,6 +52,7 @@
     options.member = member;
     options.name = settings.process.instance.value();
     options.address = absl::StrCat(settings.process.address, ":", settings.process.httpPort);
+    options.cores = Millicores(int64_t(settings.coreShare * 1000));
     options.dispatcher = dispatcherSettings(settings);
     m_owner = std::make_unique<Owner>(node.controlContext(), options, *m_links.controlStore,
                                       *m_links.workers, *m_links.controlAdvice, m_links.reader,
@@ -152,8 +154,12 @@
                        return std::optional(Json::Value(Json::objectValue));
                    });
                });
-    node.route("/cell/owner", [this](const http::Request &, const http::Responder &respond) {
-        answerOnControl(respond, [this]() -> std::optional<Json::Value> {
+    node.route("/cell/owner", [this](const http::Request &request, const http::Responder &respond) {
+        int64_t cores = 0;
+        if (!absl::SimpleAtoi(queryValue(request.query, "cores"), &cores))
+            cores = 0; // a member that only asks
+        answerOnControl(respond, [this, cores]() -> std::optional<Json::Value> {
+            m_owner->noteLargerMember(Millicores(cores));
             Json::Value value;
             value["epoch"] = Json::Int64(m_owner->heldEpoch().value());
             return value;
--- a/src/cell/owner.cpp
+++ b/src/cell/owner.cpp
@@ -19,7 +19,7 @@
     , m_gateway(workers)
     , m_reader(reader)
     , m_ownership(
-              context, store, options.member, options.address,
+              context, store, {options.member, options.address, options.cores},
               {.won = [this](Epoch epoch, const OwnerRow &previous) { won(epoch, previous); },
                .lost = [this](const char *reason) { lost(reason); },
                .changed =
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -42,9 +42,10 @@
 
 struct OwnerOptions
 {
-    std::string member;  // id of this process
-    std::string name;    // of the instance
-    std::string address; // where it answers members, "ip:port"
+    std::string member;    // id of this process
+    std::string name;      // of the instance
+    std::string address;   // where it answers members, "ip:port"
+    Millicores cores = {}; // processor share of the instance
     jobs::DispatcherSettings dispatcher = {};
 };
 
@@ -73,6 +74,8 @@
     Json::Value waitingByQueue() const;
     Json::Value explain(const JobId &id) const;
     Epoch heldEpoch() const; // 0: none
+    // A member of an instance with `cores` asks whether this one owns the cell, and could itself.
+    void noteLargerMember(Millicores cores) { m_ownership.yieldTo(cores); }
     bool canReachStore(TimePoint now) const;
     bool hasConfig() const { return m_config.version > 0; }
     Json::Value state() const;
--- a/src/cell/ownerload.cpp
+++ b/src/cell/ownerload.cpp
@@ -8,6 +8,7 @@
 #include "node/log.h"
 
 #include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
 
 #include <algorithm>
 #include <utility>
@@ -49,6 +50,9 @@
             m_ownership.noteOwnerEnded(owner.epoch);
         return;
     }
+    // A small member would not take over soon, and many of them would burden the owner.
+    if (!m_ownership.isLargeEnough())
+        return;
     if (m_probeAddress != owner.address) {
         auto client = http::Client::create(m_context,
                                            {.address = owner.address,
@@ -62,6 +66,8 @@
     }
     http::Request request;
     request.path = "/cell/owner";
+    if (canReachStore(BootClock::now()))
+        request.query = absl::StrCat("cores=", m_options.cores.value());
     m_probe->send(std::move(request), BootClock::now() + probeTimeout,
                   [this, alive = m_alive,
                    epoch = owner.epoch](const absl::StatusOr<http::Response> &response) {
--- a/src/cell/ownership.cpp
+++ b/src/cell/ownership.cpp
@@ -19,11 +19,10 @@
     bool isResignation = false;
 };
 
-Ownership::Ownership(boost::asio::io_context &context, TableStore &store, std::string member,
-                     std::string address, OwnershipEvents events)
+Ownership::Ownership(boost::asio::io_context &context, TableStore &store, OwnershipOptions options,
+                     OwnershipEvents events)
     : m_store(store)
-    , m_member(std::move(member))
-    , m_address(std::move(address))
+    , m_options(std::move(options))
     , m_events(std::move(events))
     , m_followTimer(context)
     , m_takeoverTimer(context)
@@ -150,7 +149,17 @@
 {
     const Duration silence = BootClock::now() - m_leaseChanged;
     const bool hasEnded = m_endedEpoch.value() > 0 && m_endedEpoch == m_owner.epoch;
-    return m_owner.holder.empty() || silence >= (hasEnded ? endedSilence : silenceLimit);
+    Duration limit = hasEnded ? endedSilence : silenceLimit;
+    if (m_owner.holder.empty())
+        limit = Duration::zero();
+    if (!isLargeEnough())
+        limit += smallMemberPause;
+    return silence >= limit;
+}
+
+bool Ownership::isLargeEnough() const
+{
+    return double(m_options.cores.value()) >= muchSmaller * double(m_owner.cores.value());
 }
 
 void Ownership::noteOwnerEnded(Epoch epoch)
@@ -231,7 +240,8 @@
 void Ownership::writeTakeover(const OwnerRow &previous, Revision revision)
 {
     m_isTakingOver = true;
-    const OwnerRow next = {previous.epoch + Epoch(1), m_member, m_address, 1};
+    const OwnerRow next = {previous.epoch + Epoch(1), m_options.member, m_options.address, 1,
+                           m_options.cores};
     const std::string value = encodeOwner(next);
     Transaction transaction;
     transaction.expected = {{ownerTable, ownerPart, ownerKey, {}, revision}};
@@ -277,6 +287,7 @@
     m_isOwner = true;
     m_revision = revision;
     m_leaseChanged = BootClock::now();
+    m_termBegan = m_leaseChanged;
     m_lastRenewal = m_lastCommit;
     log::info("ownership_won",
               {{"epoch", m_owner.epoch.value()},
@@ -390,11 +401,31 @@
         after(m_takeoverTimer, milliseconds(20), [this, done = std::move(done)] { resign(done); });
         return;
     }
+    writeResignation(m_options.cores, std::move(done));
+}
+
+void Ownership::yieldTo(Millicores cores)
+{
+    const bool isLarger = muchSmaller * double(cores.value()) > double(m_options.cores.value());
+    if (!m_isOwner || m_pending || m_isResigning || !isLarger
+        || BootClock::now() - m_termBegan < shortestTerm)
+        return;
+    log::info("ownership_yielded",
+              {{"epoch", m_owner.epoch.value()},
+               {"cores", m_options.cores.value()},
+               {"larger", cores.value()}});
+    writeResignation(cores, {});
+}
+
+// `cores` are those of the instance that is to follow.
+void Ownership::writeResignation(Millicores cores, std::function<void()> done)
+{
     m_isResigning = true;
     auto pending = std::make_shared<Pending>();
     pending->row = m_owner;
     ++pending->row.number;
     pending->row.holder.clear();
+    pending->row.cores = cores;
     pending->isResignation = true;
     pending->committed = std::move(done);
     const std::string value = encodeOwner(pending->row);
@@ -419,7 +450,8 @@
     log::warn("ownership_lost", {{"epoch", m_owner.epoch.value()}, {"reason", reason}});
     m_leaseChanged = BootClock::now();
     m_events.lost(reason);
-    if (m_isResigning && pending && pending->isResignation && pending->committed)
+    m_isResigning = false;
+    if (pending && pending->isResignation && pending->committed)
         pending->committed();
 }
 
--- a/src/cell/ownership.h
+++ b/src/cell/ownership.h
@@ -7,6 +7,10 @@
 // `renewInterval`; when it stays the same for `silenceLimit` while the store answers, any member
 // may write the next epoch. Workers keep the highest epoch that they have seen and refuse orders
 // of lower ones.
+//
+// The owner's part costs far more than a member's, so instances of unlike size are not alike: one
+// that is much smaller than the last owner's leaves the takeover to larger ones for a while, and an
+// owner resigns when a much larger member asks for it.
 
 #pragma once
 
@@ -34,6 +38,11 @@
 // An owner whose address refuses connections, or is answered by another process, has ended. It is
 // replaced after a shorter silence; a link that is cut on one side alone shows no silence.
 constexpr Duration endedSilence = milliseconds(420);
+// How much longer a member waits that is much smaller than the last owner's instance.
+constexpr Duration smallMemberPause = milliseconds(900);
+constexpr double muchSmaller = 0.67; // share of another instance's processor share
+// An owner does not resign for a larger member before: each change costs a recovery.
+constexpr Duration shortestTerm = seconds(3);
 constexpr Duration probeInterval = milliseconds(200); // between questions to the owner
 constexpr Duration probeTimeout = milliseconds(250);
 constexpr Duration followWait = milliseconds(400);     // of one look at the renewals
@@ -44,6 +53,13 @@
 // the outages that running work is to outlive.
 constexpr Duration maxStoreAbsence = seconds(12);
 
+struct OwnershipOptions
+{
+    std::string member;    // id of this process
+    std::string address;   // where it answers members, "ip:port"
+    Millicores cores = {}; // processor share of its instance; 0: not known
+};
+
 struct OwnershipEvents
 {
     // This member owns the cell from now on. `previous` is the row that it replaced.
@@ -59,8 +75,8 @@
     using Timer = boost::asio::basic_waitable_timer<BootClock>;
     using Committed = std::function<void()>;
 
-    Ownership(boost::asio::io_context &context, TableStore &store, std::string member,
-              std::string address, OwnershipEvents events);
+    Ownership(boost::asio::io_context &context, TableStore &store, OwnershipOptions options,
+              OwnershipEvents events);
     ~Ownership();
 
     void start();
@@ -81,6 +97,12 @@
     // Ends the ownership: the last write says so. Other members take over at once.
     void resign(std::function<void()> done);
 
+    // A member whose instance has `cores` could own the cell in place of this one. Resigns if that
+    // instance is much larger and this term has lasted for `shortestTerm`.
+    void yieldTo(Millicores cores);
+    // True if this member is large enough to take over without the pause of small ones.
+    bool isLargeEnough() const;
+
     // A worker or a member has seen a newer owner.
     void depose(const char *reason);
 
@@ -105,12 +127,12 @@
     void onSent(const std::shared_ptr<Pending> &pending,
                 const absl::StatusOr<TransactionResult> &result);
     void settle(const std::shared_ptr<Pending> &pending, Revision revision);
+    void writeResignation(Millicores cores, std::function<void()> done);
     void lose(const char *reason);
     void after(Timer &timer, Duration pause, std::function<void()> action);
 
     TableStore &m_store;
-    const std::string m_member;
-    const std::string m_address;
+    const OwnershipOptions m_options;
     const OwnershipEvents m_events;
     Timer m_followTimer;
     Timer m_takeoverTimer;
@@ -125,6 +147,7 @@
     TimePoint m_lastAnswer;
     TimePoint m_lastCommit = {}; // send time of the last write that took effect
     TimePoint m_lastRenewal = {};
+    TimePoint m_termBegan = {};
     bool m_isOwner = false;
     bool m_isTakingOver = false;
     bool m_isResigning = false;
--- a/src/cell/settings.cpp
+++ b/src/cell/settings.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr int64_t maxPort = 65535;
+constexpr double maxCores = 1024;
 constexpr int64_t shortestLeaseMs = 1000;
 constexpr int64_t longestLeaseMs = 600000;
 constexpr int64_t longestGraceMs = 600000;
@@ -61,6 +62,7 @@
     settings.readinessAddress = reader.requiredText("readinessAddress");
     settings.adviceAddress = reader.text("adviceAddress", "");
     settings.metricsPort = uint16_t(reader.integer("metricsPort", 0, 0, maxPort));
+    settings.coreShare = reader.real("coreShare", 0, 0, maxCores);
     settings.maxLeaseMs = reader.requiredInteger("maxLeaseMs", shortestLeaseMs, longestLeaseMs);
     settings.stopGraceMs = reader.requiredInteger("stopGraceMs", 1000, longestGraceMs);
     const absl::Status status = reader.finish();
--- a/src/cell/settings.h
+++ b/src/cell/settings.h
@@ -20,6 +20,7 @@
     std::string readinessAddress; // "ip:port" that the platform's balancer asks
     std::string adviceAddress;    // "ip:port" of the advice service; empty: none
     uint16_t metricsPort = 0;     // 0: metrics only beside the other admin pages
+    double coreShare = 0;         // of one core, that this instance may use; 0: not known
     int64_t maxLeaseMs = 0;       // a worker shortens longer leases
     int64_t stopGraceMs = 0;      // the process is killed so long after the signal to stop
 };
--- a/src/cell/tables.cpp
+++ b/src/cell/tables.cpp
@@ -25,6 +25,7 @@
     value["holder"] = row.holder;
     value["address"] = row.address;
     value["number"] = Json::Int64(row.number);
+    value["cores"] = Json::Int64(row.cores.value());
     return writeJson(value);
 }
 
@@ -37,11 +38,13 @@
     const auto holder = stringMember(*value, "holder");
     const auto address = stringMember(*value, "address");
     const auto number = intMember(*value, "number", 0, INT64_MAX);
+    // Absent in rows of earlier versions.
+    const auto cores = intMember(*value, "cores", 0, INT64_MAX);
     if (!epoch.ok())
         return epoch.status();
     if (!holder.ok() || !address.ok() || !number.ok())
         return makeError(Failure::MalformedBody, "the row of the owner lacks a field");
-    return OwnerRow{Epoch(*epoch), *holder, *address, *number};
+    return OwnerRow{Epoch(*epoch), *holder, *address, *number, Millicores(cores.value_or(0))};
 }
 
 } // namespace cwl::cell
--- a/src/cell/tables.h
+++ b/src/cell/tables.h
@@ -36,6 +36,7 @@
     std::string holder = {};  // member; empty: resigned
     std::string address = {}; // where the holder answers members, "ip:port"
     int64_t number = 0;       // of the write; rises within an epoch
+    Millicores cores = {};    // processor share of the holder's instance; 0: not said
 
     bool operator==(const OwnerRow &) const = default;
 };
--- a/src/settings/objectreader.cpp
+++ b/src/settings/objectreader.cpp
@@ -65,6 +65,24 @@
     return defaultValue;
 }
 
+double ObjectReader::real(const std::string &key, double defaultValue, double minimum,
+                          double maximum)
+{
+    const Json::Value *value = find(key);
+    if (!value)
+        return defaultValue;
+    const std::string range = absl::StrCat(minimum, " to ", maximum);
+    if (!value->isNumeric()) {
+        fail(key, "must be a number", range);
+        return defaultValue;
+    }
+    const double number = value->asDouble();
+    if (number >= minimum && number <= maximum)
+        return number;
+    fail(key, absl::StrCat("is ", number), range);
+    return defaultValue;
+}
+
 bool ObjectReader::boolean(const std::string &key, bool defaultValue)
 {
     const Json::Value *value = find(key);
--- a/src/settings/objectreader.h
+++ b/src/settings/objectreader.h
@@ -32,6 +32,7 @@
     std::string text(const std::string &key, const std::string &defaultValue);
     int64_t requiredInteger(const std::string &key, int64_t minimum, int64_t maximum);
     int64_t integer(const std::string &key, int64_t defaultValue, int64_t minimum, int64_t maximum);
+    double real(const std::string &key, double defaultValue, double minimum, double maximum);
     bool boolean(const std::string &key, bool defaultValue);
     std::string choice(const std::string &key, const std::string &defaultValue,
                        const std::vector<std::string> &allowed);
--- /dev/null
+++ b/tests/cell/memorystore.h
@@ -0,0 +1,45 @@
+// The platform's tables in memory, for tests of one part of a member without processes.
+
+#pragma once
+
+#include "cell/ports.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace cwl::cell::tests {
+
+// Answers on the thread of the io_context, at once; looks for changes wait for one.
+class MemoryStore : public TableStore
+{
+public:
+    explicit MemoryStore(boost::asio::io_context &context);
+
+    void commit(const Transaction &transaction, TimePoint deadline,
+                TransactionCallback callback) override;
+    void read(const Range &range, TimePoint deadline, PageCallback callback) override;
+    void changes(const std::string &table, Revision after, Duration wait, TimePoint deadline,
+                 PageCallback callback) override;
+
+    // Value of a row; empty if there is none.
+    std::string value(const std::string &table, const std::string &part,
+                      const std::string &key) const;
+    bool isDown = false; // every call fails with StoreUnavailable
+
+private:
+    using Key = std::tuple<std::string, std::string, std::string>; // table, part, key
+
+    void answer(std::function<void()> action);
+    Page changedAfter(const std::string &table, Revision after) const;
+
+    boost::asio::io_context &m_context;
+    std::map<Key, Row> m_rows;
+    Revision m_revision = {};
+};
+
+} // namespace cwl::cell::tests
--- /dev/null
+++ b/tests/cell/ownership_test.cpp
@@ -0,0 +1,120 @@
+// Which member owns the cell: instances of unlike size, over tables in memory.
+
+#include "cell/memorystore.h"
+#include "cell/ownership.h"
+
+#include <boost/asio/io_context.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace cwl;
+using namespace cwl::cell;
+
+constexpr Duration generous = seconds(20); // for anything that is waited for
+constexpr Millicores small{120};
+constexpr Millicores large{500};
+
+class OwnershipTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(OwnershipTest);
+    CPPUNIT_TEST(smallMemberLeavesTheTakeoverToALargeOne);
+    CPPUNIT_TEST(smallMemberTakesOverWhereThereIsNoLargeOne);
+    CPPUNIT_TEST(smallOwnerYieldsToALargeMember);
+    CPPUNIT_TEST(ownerDoesNotYieldToAnEqualMember);
+    CPPUNIT_TEST_SUITE_END();
+
+    boost::asio::io_context m_context{1};
+    tests::MemoryStore m_store{m_context};
+    std::vector<std::unique_ptr<Ownership>> m_members;
+
+    Ownership &add(const std::string &name, Millicores cores)
+    {
+        OwnershipEvents events;
+        events.won = [](Epoch, const OwnerRow &) {};
+        events.lost = [](const char *) {};
+        events.changed = [](const OwnerRow &) {};
+        events.confirmed = [](TimePoint) {};
+        m_members.push_back(std::make_unique<Ownership>(
+                m_context, m_store, OwnershipOptions{name, "127.0.0.1:1", cores},
+                std::move(events)));
+        m_members.back()->start();
+        return *m_members.back();
+    }
+
+    template <typename Condition>
+    void runUntil(const std::string &what, Condition condition)
+    {
+        const TimePoint deadline = BootClock::now() + generous;
+        while (!condition()) {
+            CPPUNIT_ASSERT_MESSAGE("waited in vain until " + what, BootClock::now() < deadline);
+            m_context.run_one_for(milliseconds(20));
+        }
+    }
+
+public:
+    void tearDown() override { m_members.clear(); }
+
+    // Guards against a day of the grown fleet that one of the small instances owned: its processor
+    // share was a quarter of what the owner's part needs, and nothing started in time.
+    void smallMemberLeavesTheTakeoverToALargeOne()
+    {
+        Ownership &first = add("first", large);
+        runUntil("the first member owns the cell", [&] { return first.isOwner(); });
+        Ownership &smallMember = add("small", small);
+        Ownership &largeMember = add("large", large);
+        runUntil("all follow the owner", [&] {
+            return smallMember.owner().holder == "first" && largeMember.owner().holder == "first";
+        });
+        first.resign([] {});
+        runUntil("another member owns the cell",
+                 [&] { return smallMember.isOwner() || largeMember.isOwner(); });
+        CPPUNIT_ASSERT(largeMember.isOwner());
+    }
+
+    // Guards against a cell without an owner when all large instances are lost.
+    void smallMemberTakesOverWhereThereIsNoLargeOne()
+    {
+        Ownership &first = add("first", large);
+        runUntil("the first member owns the cell", [&] { return first.isOwner(); });
+        Ownership &smallMember = add("small", small);
+        runUntil("it follows the owner", [&] { return smallMember.owner().holder == "first"; });
+        first.resign([] {});
+        runUntil("the small member owns the cell", [&] { return smallMember.isOwner(); });
+    }
+
+    // Guards against a small owner that keeps the cell after the large instances are back.
+    void smallOwnerYieldsToALargeMember()
+    {
+        Ownership &smallMember = add("small", small);
+        runUntil("the small member owns the cell", [&] { return smallMember.isOwner(); });
+        Ownership &largeMember = add("large", large);
+        runUntil("the large member owns the cell", [&] {
+            smallMember.yieldTo(large);
+            return largeMember.isOwner();
+        });
+        CPPUNIT_ASSERT(!smallMember.isOwner());
+        CPPUNIT_ASSERT_EQUAL(int64_t(2), largeMember.epoch().value());
+    }
+
+    // Guards against members of one size that hand the cell round.
+    void ownerDoesNotYieldToAnEqualMember()
+    {
+        Ownership &owner = add("owner", large);
+        runUntil("it owns the cell", [&] { return owner.isOwner(); });
+        const TimePoint end = BootClock::now() + shortestTerm + milliseconds(300);
+        runUntil("its shortest term is over", [&] {
+            owner.yieldTo(large);
+            return BootClock::now() > end;
+        });
+        CPPUNIT_ASSERT(owner.isOwner());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OwnershipTest);
+
+} // namespace
