Decide over pools of usable workers, and bound the share of the processor that decisions take

Change: one pass collects, for each service, the workers that may get starts and the largest free room; the checks that hold for every task are made once; reservations are marks at the workers. The next decision waits for three times the time of the last one.

--- a/src/cell/owner.cpp
+++ b/src/cell/owner.cpp
@@ -205,7 +205,8 @@
 {
     if (!m_isActive || std::exchange(m_isDecisionDue, true))
         return;
-    after(m_decideTimer, decideGap, [this] { decide(); });
+    const Duration gap = std::max(decideGap, m_decideNotBefore - BootClock::now());
+    after(m_decideTimer, gap, [this] { decide(); });
 }
 
 void Owner::decide()
@@ -218,7 +219,9 @@
     if (!m_ownership.isValid(now))
         return;
     const jobs::Orders orders = m_dispatcher.decide(now, UnixMilliseconds::now());
-    m_decideTime.observe(BootClock::now() - now);
+    const TimePoint decided = BootClock::now();
+    m_decideTime.observe(decided - now);
+    m_decideNotBefore = decided + (decideShare - 1) * (decided - now);
     carryOut(orders);
     m_advice.serve();
     store();
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -26,8 +26,9 @@
 
 // Section: limits
 
-constexpr Duration tickInterval = milliseconds(50);      // between decisions without news
-constexpr Duration decideGap = milliseconds(2);          // news that arrive together, one decision
+constexpr Duration tickInterval = milliseconds(50); // between decisions without news
+constexpr Duration decideGap = milliseconds(2);     // news that arrive together, one decision
+constexpr int decideShare = 4; // decisions take at most one part in so many of the processor time
 constexpr Duration watchWait = milliseconds(1000);       // of one look at a worker
 constexpr Duration watchAnswerLimit = milliseconds(900); // beyond its wait
 constexpr Duration watchRetryPause = milliseconds(400);  // after a failed look
@@ -152,6 +153,7 @@
     uint64_t m_term = 0; // rises with each change of the ownership; old callbacks compare it
     TimePoint m_termBegan = {};
     TimePoint m_lastStore = {};
+    TimePoint m_decideNotBefore = {}; // with a long backlog, decisions are made less often
     TimePoint m_nextExpiry = {};
     Timer m_decideTimer;
     Timer m_storeTimer;
--- a/src/jobs/advice.cpp
+++ b/src/jobs/advice.cpp
@@ -24,14 +24,18 @@
 // Section: advice
 
 // Tasks of the step that the workers known to be allowed could hold if they were empty.
-int64_t Dispatcher::allowedPlaces(const Candidate &candidate, TimePoint now) const
+int64_t Dispatcher::allowedPlaces(const Candidate &candidate) const
 {
     const Step &step = candidate.job->spec.steps[candidate.step];
     const StepState &state = candidate.occurrence->steps[candidate.step];
     int64_t places = 0;
-    for (const auto &[id, worker] : m_workers) {
-        if (isUsable(*worker, candidate, now)
-            && (!candidate.job->spec.queue.advice || state.advice.allowed.contains(id)))
+    const auto room = m_rooms.find(candidate.job->spec.queue.service);
+    if (room == m_rooms.end())
+        return 0;
+    for (const Worker *worker : room->second.workers) {
+        if (isUsable(*worker, candidate)
+            && (!candidate.job->spec.queue.advice
+                || state.advice.allowed.contains(worker->entry.id.value())))
             places += tasksThatFit(worker->entry.capacity, step);
     }
     return places;
@@ -52,13 +56,16 @@
         int64_t fits;
     };
     // A gang that the workers known to be allowed can't hold even when empty needs others.
-    const bool asksAll = isFirst || (step.gang && allowedPlaces(candidate, now) < step.count);
+    const bool asksAll = isFirst || (step.gang && allowedPlaces(candidate) < step.count);
     std::vector<Choice> choices;
     int64_t placesNow = 0;
-    for (const auto &[id, worker] : m_workers) {
-        if (!isUsable(*worker, candidate, now) || !step.each.fitsIn(worker->entry.capacity))
+    const auto room = m_rooms.find(candidate.job->spec.queue.service);
+    if (room == m_rooms.end())
+        return {};
+    for (const Worker *worker : room->second.workers) {
+        if (!step.each.fitsIn(worker->entry.capacity) || !isUsable(*worker, candidate))
             continue;
-        const auto asked = state.advice.asked.find(id);
+        const auto asked = state.advice.asked.find(worker->entry.id.value());
         const bool isAllowed = asked != state.advice.asked.end() && asked->second;
         if ((asked != state.advice.asked.end() && !isAllowed) || findTicket(state, *worker, now))
             continue;
@@ -69,7 +76,7 @@
             continue;
         const double value = score(*worker, candidate, state.tasks[0]) + (isAllowed ? 5 : 0)
                 - (fits > 0 ? 0 : 10);
-        choices.push_back({worker.get(), value, isAllowed, fits});
+        choices.push_back({worker, value, isAllowed, fits});
     }
     // Tickets are for a start at once. The first answer also tells where to wait for room.
     const int64_t needed = step.gang ? step.count : 1;
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -50,6 +50,7 @@
     m_predecessorEnds = predecessorEnds;
     m_isSettledForGood = false;
     m_ownerAt = {};
+    m_rooms.clear();
     m_workers.clear();
     m_jobs.clear();
     m_open.clear();
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -215,10 +215,15 @@
         NoWorker, // none has room and, where one is needed, a ticket
         Reserved, // the room that is left is kept for urgent queues
     };
+    // The workers of one service, as one pass sees them.
     struct ServiceRoom
     {
+        std::vector<Worker *> workers = {}; // that may get starts now
+        size_t pool = 0;                    // workers that have reported
         Resources capacity = {};
         Resources free = {};
+        Resources largestFree =
+                {};              // at the start of the pass, of any worker, each figure by itself
         int64_t topPriority = 0; // of the queues that use it
         size_t unplaced = 0;
         size_t unplacedGangs = 0;
@@ -253,7 +258,7 @@
     const Step &stepSpec(const Job &job, const TaskAddress &address) const;
 
     // Section: placement (placement.cpp)
-    void countRooms();
+    void countRooms(TimePoint now);
     bool isSettled(TimePoint now);
     bool isReady(const Occurrence &occurrence, const Job &job, uint32_t step) const;
     std::vector<Candidate> candidates(TimePoint now);
@@ -262,7 +267,8 @@
     Placed placeTasks(const Candidate &candidate, Orders &orders, TimePoint now);
     Placed placeGang(const Candidate &candidate, Orders &orders, TimePoint now);
     Worker *chooseWorker(const Candidate &candidate, const Task &task, TimePoint now);
-    bool isUsable(const Worker &worker, const Candidate &candidate, TimePoint now) const;
+    bool mayStart(const Worker &worker, TimePoint now) const;
+    bool isUsable(const Worker &worker, const Candidate &candidate) const;
     bool hasRoom(const Worker &worker, const Step &step) const;
     double score(const Worker &worker, const Candidate &candidate, const Task &task) const;
     const Ticket *findTicket(const StepState &step, const Worker &worker, TimePoint now) const;
@@ -280,7 +286,7 @@
     void controlPace(Worker &worker, Orders &orders, TimePoint now);
 
     // Section: advice (advice.cpp)
-    int64_t allowedPlaces(const Candidate &candidate, TimePoint now) const;
+    int64_t allowedPlaces(const Candidate &candidate) const;
     std::vector<WorkerId> chooseAsked(const Candidate &candidate, TimePoint now);
     void askAdvice(const Candidate &candidate, Orders &orders, TimePoint now);
     void askEarly(Job &job, Orders &orders, TimePoint now);
@@ -296,8 +302,8 @@
     std::unordered_map<std::string, Job *> m_dirty;
     bool m_hasUnstoredEnds = false;
     std::unordered_map<std::string, ServiceRoom> m_rooms;
-    std::unordered_map<const Worker *, const Job *> m_reserved; // for large tasks, during one pass
-    std::unordered_map<std::string, double> m_allowedShare;     // by queue, smoothed
+    std::vector<Worker *> m_reserved;                       // for large tasks, during one pass
+    std::unordered_map<std::string, double> m_allowedShare; // by queue, smoothed
     TimePoint m_ownerAt = {}; // this owner's last write that took effect was sent then
     TimePoint m_roomsReported = {};
     Figures m_figures;
--- a/src/jobs/fit.cpp
+++ b/src/jobs/fit.cpp
@@ -26,6 +26,14 @@
     return std::max<int64_t>(0, fits);
 }
 
+Resources neededRoom(const Step &step)
+{
+    Resources room = step.each;
+    if (step.fill)
+        room.cores = Millicores(0);
+    return room;
+}
+
 bool isLarge(const Step &step, const Worker &worker)
 {
     const Resources &all = worker.entry.capacity;
--- a/src/jobs/fit.h
+++ b/src/jobs/fit.h
@@ -15,6 +15,9 @@
 // Tasks of the step that fit into `room`.
 int64_t tasksThatFit(const Resources &room, const Step &step);
 
+// Room that one task holds: what fills reserves no cores.
+Resources neededRoom(const Step &step);
+
 // True if one task of the step takes much of the worker.
 bool isLarge(const Step &step, const Worker &worker);
 
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -6,6 +6,7 @@
 #include "node/log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cwl::jobs {
 
@@ -27,16 +28,24 @@
 
 // Section: the pass
 
-void Dispatcher::countRooms()
+void Dispatcher::countRooms(TimePoint now)
 {
     m_rooms.clear();
     for (const auto &[id, worker] : m_workers) {
         if (!worker->isRead || !worker->isListed)
             continue;
         ServiceRoom &room = m_rooms[worker->entry.service];
+        const Resources free = freeRoom(*worker);
+        ++room.pool;
         room.capacity = room.capacity + worker->entry.capacity;
-        room.free = room.free + freeRoom(*worker);
+        room.free = room.free + free;
         room.topPriority = INT64_MAX;
+        if (!mayStart(*worker, now))
+            continue;
+        room.workers.push_back(worker.get());
+        room.largestFree = {std::max(room.largestFree.cores, free.cores),
+                            std::max(room.largestFree.memory, free.memory),
+                            std::max(room.largestFree.accelerators, free.accelerators)};
     }
     for (const auto &[name, queue] : m_queues) {
         const auto room = m_rooms.find(queue.service);
@@ -110,14 +119,15 @@
         if (!isFinal(job->state))
             addDueOccurrences(*job, wallNow);
     }
-    countRooms();
-    m_reserved.clear();
+    countRooms(now);
     for (const Candidate &candidate : candidates(now))
         place(candidate, orders, now);
     reportRooms(now);
     for (Job *job : m_open)
         askEarly(*job, orders, now);
     repeatStops(orders, now);
+    for (Worker *worker : std::exchange(m_reserved, {}))
+        worker->reservedFor = nullptr;
     return orders;
 }
 
@@ -162,28 +172,28 @@
 
 bool Dispatcher::hasRoom(const Worker &worker, const Step &step) const
 {
-    Resources need = step.each;
-    if (step.fill) {
-        need.cores = Millicores(0);
-        if (worker.used.cores + worker.fillUsed + step.each.cores > worker.entry.capacity.cores)
-            return false;
-    }
-    return need.fitsIn(freeRoom(worker));
+    if (step.fill
+        && worker.used.cores + worker.fillUsed + step.each.cores > worker.entry.capacity.cores)
+        return false;
+    return neededRoom(step).fitsIn(freeRoom(worker));
 }
 
-bool Dispatcher::isUsable(const Worker &worker, const Candidate &candidate, TimePoint now) const
+// What holds for every task: the worker is known, sound and obeys this owner.
+bool Dispatcher::mayStart(const Worker &worker, TimePoint now) const
+{
+    return worker.isRead && worker.isListed && !worker.entry.isDraining && worker.unknownRuns == 0
+            && now >= worker.shunnedUntil && now - worker.lastReport <= reportFreshness
+            && (worker.bornSeen == TimePoint() || m_ownerAt > worker.bornSeen);
+}
+
+// What holds for this task, on a worker that may get starts.
+bool Dispatcher::isUsable(const Worker &worker, const Candidate &candidate) const
 {
     const Step &step = candidate.job->spec.steps[candidate.step];
-    if (worker.entry.service != candidate.job->spec.queue.service || !worker.isRead
-        || !worker.isListed || worker.entry.isDraining || worker.unknownRuns > 0
-        || now < worker.shunnedUntil || now - worker.lastReport > reportFreshness
-        || (worker.bornSeen != TimePoint() && m_ownerAt <= worker.bornSeen))
-        return false;
     if (!hasLabel(worker, step.label))
         return false;
-    const auto reserved = m_reserved.find(&worker);
-    if (reserved != m_reserved.end()
-        && reserved->second->spec.queue.priority < candidate.job->spec.queue.priority)
+    if (worker.reservedFor
+        && worker.reservedFor->spec.queue.priority < candidate.job->spec.queue.priority)
         return false;
     if (step.maxPerWorker == 0)
         return true;
@@ -235,14 +245,17 @@
     const bool needsTicket = candidate.job->spec.queue.advice.has_value();
     Worker *best = nullptr;
     double bestScore = 0;
-    for (auto &[id, worker] : m_workers) {
-        if (!isUsable(*worker, candidate, now) || !hasRoom(*worker, step))
+    const ServiceRoom &room = m_rooms.at(candidate.job->spec.queue.service);
+    if (!neededRoom(step).fitsIn(room.largestFree))
+        return nullptr;
+    for (Worker *worker : room.workers) {
+        if (!hasRoom(*worker, step) || !isUsable(*worker, candidate))
             continue;
         if (needsTicket && !findTicket(state, *worker, now))
             continue;
         const double value = score(*worker, candidate, task);
         if (!best || value > bestScore) {
-            best = worker.get();
+            best = worker;
             bestScore = value;
         }
     }
@@ -344,12 +357,12 @@
         double score;
     };
     std::vector<Place> places;
-    for (auto &[id, worker] : m_workers) {
-        if (!isUsable(*worker, candidate, now) || !hasRoom(*worker, step))
+    for (Worker *worker : m_rooms.at(candidate.job->spec.queue.service).workers) {
+        if (!hasRoom(*worker, step) || !isUsable(*worker, candidate))
             continue;
         if (needsTicket && !findTicket(state, *worker, now))
             continue;
-        places.push_back({worker.get(), tasksThatFit(freeRoom(*worker), step),
+        places.push_back({worker, tasksThatFit(freeRoom(*worker), step),
                           score(*worker, candidate, state.tasks[0])});
     }
     std::sort(places.begin(), places.end(),
@@ -413,29 +426,31 @@
     const StepState &state = candidate.occurrence->steps[candidate.step];
     const Step &step = candidate.job->spec.steps[candidate.step];
     if (step.fill || now > candidate.job->hopeless
-        || (step.gang && allowedPlaces(candidate, now) < step.count))
+        || (step.gang && allowedPlaces(candidate) < step.count))
         return;
     const bool needsAdvice = candidate.job->spec.queue.advice.has_value();
+    const ServiceRoom &room = m_rooms.at(candidate.job->spec.queue.service);
+    const size_t most = std::max<size_t>(1, size_t(double(room.pool) * mostReserved));
+    if (m_reserved.size() >= most)
+        return;
     std::vector<std::pair<TimePoint, Worker *>> places;
-    size_t pool = 0;
-    for (auto &[id, worker] : m_workers) {
-        if (worker->entry.service != candidate.job->spec.queue.service)
-            continue;
-        ++pool;
-        if (!isUsable(*worker, candidate, now) || !isLarge(step, *worker)
-            || (needsAdvice && !state.advice.allowed.contains(id)))
+    for (Worker *worker : room.workers) {
+        if (!isLarge(step, *worker) || !isUsable(*worker, candidate)
+            || (needsAdvice && !state.advice.allowed.contains(worker->entry.id.value())))
             continue;
         const TimePoint when = whenRoom(*worker, step, now);
         if (when != TimePoint::max())
-            places.emplace_back(when, worker.get());
+            places.emplace_back(when, worker);
     }
     std::sort(places.begin(), places.end());
-    const size_t most = std::max<size_t>(1, size_t(double(pool) * mostReserved));
     uint32_t found = 0;
     for (const auto &[when, worker] : places) {
         if (found >= state.waiting || m_reserved.size() >= most)
             return;
-        m_reserved.emplace(worker, candidate.job);
+        if (!worker->reservedFor) { // the most urgent one stands
+            worker->reservedFor = candidate.job;
+            m_reserved.push_back(worker);
+        }
         found += uint32_t(
                 std::clamp<int64_t>(tasksThatFit(worker->entry.capacity, step), 1, step.count));
     }
--- a/src/jobs/preemption.cpp
+++ b/src/jobs/preemption.cpp
@@ -56,11 +56,11 @@
     const bool needsAdvice = candidate.job->spec.queue.advice.has_value();
     std::vector<Worker *> workers;
     int64_t places = 0;
-    for (auto &[id, worker] : m_workers) {
-        if (!isUsable(*worker, candidate, now)
-            || (needsAdvice && !state.advice.allowed.contains(id)))
+    for (Worker *worker : m_rooms.at(candidate.job->spec.queue.service).workers) {
+        if (!isUsable(*worker, candidate)
+            || (needsAdvice && !state.advice.allowed.contains(worker->entry.id.value())))
             continue;
-        workers.push_back(worker.get());
+        workers.push_back(worker);
         places += tasksThatFit(comingRoom(*worker), step);
     }
     const int64_t needed = state.waiting;
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -130,9 +130,10 @@
     uint32_t unknownRuns = 0;                       // whose room is not known
     uint32_t servingTargets = 0;                    // runs with a target for their response times
     uint32_t failuresInRow = 0;
-    TimePoint shunnedUntil = {};  // starts nothing before
-    TimePoint drainDeadline = {}; // zero: not known
-    double slowness = 1;          // run times against estimates, smoothed
+    TimePoint shunnedUntil = {};      // starts nothing before
+    TimePoint drainDeadline = {};     // zero: not known
+    double slowness = 1;              // run times against estimates, smoothed
+    const Job *reservedFor = nullptr; // a large task, during one pass
 };
 
 inline Resources freeRoom(const Worker &worker)
