Spread the questions of gangs, ask in time, and let gangs take room that is not urgent

All gangs asked advice about the same best workers, about few more than they need, and again only 2.7 s after each answer, so their tickets were seldom valid when there was room. Change: a gang asks about three times the places it needs, about workers drawn by its id, and again before its tickets end; it may stop less urgent runs that are saved and stay in time, if that makes room for all of it.

--- a/src/jobs/advice.cpp
+++ b/src/jobs/advice.cpp
@@ -14,7 +14,12 @@
 constexpr double firstAllowedShare = 0.5;  // of the workers asked about, before any answer
 constexpr double allowedShareWeight = 0.1; // of the newest answer
 constexpr double adviceSurplus = 1.4;      // places asked for, against places needed
+// A gang needs room on all its workers at once, and others take some of it while it asks.
+constexpr double gangSurplus = 3.0;
 constexpr double leastAllowedShare = 0.1;
+// Gangs that ask at the same time should not all ask about the same workers: weight of a figure
+// drawn for each pair of a step and a worker.
+constexpr double spreadWeight = 2.0;
 constexpr int adviceRepeatFactor = 3; // pause between questions, against the time of one
 constexpr Duration adviceRetryPause = milliseconds(100);
 constexpr Duration adviceEarly = milliseconds(60); // before the step is expected to be ready
@@ -41,12 +46,24 @@
     return places;
 }
 
+namespace {
+
+// Between 0 and 1, the same for the same step and worker.
+double spreadOf(const Job &job, const Worker &worker)
+{
+    const size_t mixed = std::hash<std::string>()(job.spec.id.value() + worker.entry.id.value());
+    return double(mixed % 1024) / 1024;
+}
+
+} // namespace
+
 // Workers that advice is to be asked about: those known to be allowed whose tickets have ended, and
 // others, the best first, until enough places can be expected.
 std::vector<WorkerId> Dispatcher::chooseAsked(const Candidate &candidate, TimePoint now)
 {
     StepState &state = candidate.occurrence->steps[candidate.step];
     const Step &step = candidate.job->spec.steps[candidate.step];
+    const AdvicePolicy &policy = *candidate.job->spec.queue.advice;
     const bool isFirst = state.advice.asked.empty();
     struct Choice
     {
@@ -67,15 +84,22 @@
             continue;
         const auto asked = state.advice.asked.find(worker->entry.id.value());
         const bool isAllowed = asked != state.advice.asked.end() && asked->second;
-        if ((asked != state.advice.asked.end() && !isAllowed) || findTicket(state, *worker, now))
+        // A ticket that ends before the answer is there is asked for anew.
+        if ((asked != state.advice.asked.end() && !isAllowed)
+            || findTicket(state, *worker, now + policy.decision))
             continue;
-        const int64_t fits =
-                hasRoom(*worker, step) || step.gang ? tasksThatFit(comingRoom(*worker), step) : 0;
+        int64_t fits = 0;
+        if (step.gang)
+            fits = tasksThatFit(reclaimableRoom(*worker, candidate.job->spec.queue.priority, now),
+                                step);
+        else if (hasRoom(*worker, step))
+            fits = tasksThatFit(comingRoom(*worker), step);
         placesNow += fits;
         if (fits == 0 && !asksAll && !isAllowed)
             continue;
         const double value = score(*worker, candidate, state.tasks[0]) + (isAllowed ? 5 : 0)
-                - (fits > 0 ? 0 : 10);
+                - (fits > 0 ? 0 : 10)
+                + (step.gang ? spreadWeight * spreadOf(*candidate.job, *worker) : 0);
         choices.push_back({worker, value, isAllowed, fits});
     }
     // Tickets are for a start at once. The first answer also tells where to wait for room.
@@ -88,7 +112,7 @@
             std::max(leastAllowedShare,
                      m_allowedShare.emplace(candidate.job->spec.queue.name, firstAllowedShare)
                              .first->second);
-    const double wanted = state.waiting * adviceSurplus + 1;
+    const double wanted = state.waiting * (step.gang ? gangSurplus : adviceSurplus) + 1;
     double expected = 0;
     std::vector<WorkerId> workers;
     for (const Choice &choice : choices) {
@@ -181,6 +205,8 @@
     step->advice.retryAt = now + adviceRepeatFactor * query.expected;
     const Duration validity =
             job->spec.queue.advice ? job->spec.queue.advice->validity : Duration::zero();
+    if (stepSpec(*job, query.step).gang)
+        step->advice.retryAt = std::min(step->advice.retryAt, now + validity - query.expected / 2);
     size_t news = 0;
     size_t newsAllowed = 0;
     for (const WorkerId &id : query.workers) {
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -279,8 +279,15 @@
     void reserve(const Candidate &candidate, TimePoint now);
 
     // Section: taking runs away (preemption.cpp)
-    std::vector<Run *> victimsOn(Worker &worker, const Candidate &candidate, TimePoint now);
+    bool mayPreempt(const Candidate &candidate) const;
+    bool takesMuch(const Candidate &candidate) const;
+    bool isVictim(const Run &run, int64_t priority, TimePoint now) const;
+    std::vector<Run *> victimsOn(Worker &worker, int64_t priority, TimePoint now) const;
+    Resources reclaimableRoom(const Worker &worker, int64_t priority, TimePoint now) const;
+    int64_t preemptOn(Worker &worker, const Candidate &candidate, int64_t wanted,
+                      size_t &allowedStops, TimePoint now);
     void preempt(const Candidate &candidate, TimePoint now);
+    void preemptForGang(const Candidate &candidate, TimePoint now);
     void repeatStops(Orders &orders, TimePoint now);
     void evacuate(Worker &worker, TimePoint now);
     void controlPace(Worker &worker, Orders &orders, TimePoint now);
--- a/src/jobs/preemption.cpp
+++ b/src/jobs/preemption.cpp
@@ -15,7 +15,11 @@
 constexpr Duration leastRunBeforePreemption = milliseconds(400); // a run that just began is left
 constexpr int64_t mostUrgentPriority = 0;                        // of a queue; others wait for room
 constexpr size_t maxPreemptionsPerStep = 16;                     // in one pass
-constexpr Duration drainMargin = milliseconds(1300);             // a stop takes up to 0.9 s
+constexpr size_t maxPreemptionsPerGang = 64;                     // in one pass
+// What a pause costs a run that is stopped and starts again: the stop, a new place, the restore.
+constexpr Duration preemptionDelay = milliseconds(2500);
+constexpr Duration longestStop = milliseconds(1000); // bound of a stop, and its way
+constexpr Duration drainMargin = milliseconds(1300); // a stop takes up to 0.9 s
 
 // A tail above `paceDownAt` of its target slows what fills beside it; below `paceUpAt` it speeds
 // up again.
@@ -27,17 +31,44 @@
 
 // Section: preemption
 
-// Runs of less urgent queues whose progress is saved, the largest first.
-std::vector<Run *> Dispatcher::victimsOn(Worker &worker, const Candidate &candidate, TimePoint now)
+// The most urgent queue may take room from all others. Gangs, and tasks that need much of a worker,
+// may take it from less urgent ones as well: the room that ends leave is seldom in one place.
+bool Dispatcher::mayPreempt(const Candidate &candidate) const
+{
+    const Step &step = candidate.job->spec.steps[candidate.step];
+    return !step.fill && !step.lasting
+            && (candidate.job->spec.queue.priority == mostUrgentPriority || step.gang
+                || takesMuch(candidate));
+}
+
+bool Dispatcher::takesMuch(const Candidate &candidate) const
+{
+    const Step &step = candidate.job->spec.steps[candidate.step];
+    const std::vector<Worker *> &workers = m_rooms.at(candidate.job->spec.queue.service).workers;
+    return std::any_of(workers.begin(), workers.end(),
+                       [&](const Worker *worker) { return isLarge(step, *worker); });
+}
+
+// A run of a less urgent queue whose progress is saved. For others than the most urgent queue its
+// job must still be in time after the pause.
+bool Dispatcher::isVictim(const Run &run, int64_t priority, TimePoint now) const
+{
+    if (!run.job || run.phase != RunPhase::Running || isFinal(run.job->state)
+        || run.job->spec.queue.priority <= priority
+        || now - run.confirmedAt < leastRunBeforePreemption)
+        return false;
+    const Step &spec = stepSpec(*run.job, run.address);
+    if (!spec.checkpoints || spec.lasting || spec.gang || spec.fill)
+        return false;
+    return priority == mostUrgentPriority || now > run.job->hopeless
+            || now + remainingOf(run, spec, now) + preemptionDelay < run.job->objective;
+}
+
+std::vector<Run *> Dispatcher::victimsOn(Worker &worker, int64_t priority, TimePoint now) const
 {
     std::vector<Run *> victims;
     for (auto &[task, run] : worker.runs) {
-        if (!run.job || run.phase != RunPhase::Running || isFinal(run.job->state)
-            || run.job->spec.queue.priority <= candidate.job->spec.queue.priority
-            || now - run.confirmedAt < leastRunBeforePreemption)
-            continue;
-        const Step &spec = stepSpec(*run.job, run.address);
-        if (spec.checkpoints && !spec.lasting && !spec.gang && !spec.fill)
+        if (isVictim(run, priority, now))
             victims.push_back(&run);
     }
     std::sort(victims.begin(), victims.end(),
@@ -45,14 +76,62 @@
     return victims;
 }
 
+// Room that is free, comes free, or could be taken from less urgent runs.
+Resources Dispatcher::reclaimableRoom(const Worker &worker, int64_t priority, TimePoint now) const
+{
+    Resources room = freeRoom(worker);
+    for (const auto &[task, run] : worker.runs) {
+        if (run.phase == RunPhase::Stopping || isVictim(run, priority, now))
+            room = room + run.room;
+    }
+    return room;
+}
+
+// Stops the fewest runs on the worker that make room for `wanted` tasks more. Returns how many
+// tasks fit more than before.
+int64_t Dispatcher::preemptOn(Worker &worker, const Candidate &candidate, int64_t wanted,
+                              size_t &allowedStops, TimePoint now)
+{
+    const Step &step = candidate.job->spec.steps[candidate.step];
+    Resources room = comingRoom(worker);
+    const int64_t fitsBefore = tasksThatFit(room, step);
+    int64_t fits = fitsBefore;
+    std::vector<Run *> chosen;
+    for (Run *victim : victimsOn(worker, candidate.job->spec.queue.priority, now)) {
+        if (fits - fitsBefore >= wanted || chosen.size() >= allowedStops)
+            break;
+        room = room + victim->room;
+        chosen.push_back(victim);
+        const int64_t fitsThen = tasksThatFit(room, step);
+        if (fitsThen <= fits)
+            continue;
+        for (Run *run : chosen) {
+            run->phase = RunPhase::Stopping;
+            log::info("run_preempted",
+                      {{"task", run->address.text()},
+                       {"worker", worker.entry.id.value()},
+                       {"for", candidate.job->spec.id.value()},
+                       {"objective_left", candidate.job->objective - now}});
+        }
+        m_figures.preempted += chosen.size();
+        allowedStops -= chosen.size();
+        chosen.clear();
+        fits = fitsThen;
+    }
+    return fits - fitsBefore;
+}
+
 // Stops less urgent runs where that makes room for the tasks of the candidate.
 void Dispatcher::preempt(const Candidate &candidate, TimePoint now)
 {
-    const Step &step = candidate.job->spec.steps[candidate.step];
     const StepState &state = candidate.occurrence->steps[candidate.step];
-    if (step.fill || now > candidate.job->hopeless
-        || candidate.job->spec.queue.priority != mostUrgentPriority)
+    const Step &step = candidate.job->spec.steps[candidate.step];
+    if (now > candidate.job->hopeless || !mayPreempt(candidate))
         return;
+    if (step.gang) {
+        preemptForGang(candidate, now);
+        return;
+    }
     const bool needsAdvice = candidate.job->spec.queue.advice.has_value();
     std::vector<Worker *> workers;
     int64_t places = 0;
@@ -63,35 +142,54 @@
         workers.push_back(worker);
         places += tasksThatFit(comingRoom(*worker), step);
     }
-    const int64_t needed = state.waiting;
-    size_t stopped = 0;
+    size_t allowedStops = maxPreemptionsPerStep;
     for (Worker *worker : workers) {
-        Resources room = comingRoom(*worker);
-        int64_t fits = tasksThatFit(room, step);
-        std::vector<Run *> chosen;
-        for (Run *victim : victimsOn(*worker, candidate, now)) {
-            if (places >= needed || stopped + chosen.size() >= maxPreemptionsPerStep)
-                break;
-            room = room + victim->room;
-            chosen.push_back(victim);
-            const int64_t fitsThen = tasksThatFit(room, step);
-            if (fitsThen <= fits)
-                continue;
-            for (Run *run : chosen) {
-                run->phase = RunPhase::Stopping;
-                log::info("run_preempted",
-                          {{"task", run->address.text()},
-                           {"worker", worker->entry.id.value()},
-                           {"for", candidate.job->spec.id.value()},
-                           {"waiting", state.waiting},
-                           {"objective_left", candidate.job->objective - now}});
-            }
-            m_figures.preempted += chosen.size();
-            stopped += chosen.size();
-            chosen.clear();
-            places += fitsThen - fits;
-            fits = fitsThen;
-        }
+        if (places >= state.waiting || allowedStops == 0)
+            return;
+        places += preemptOn(*worker, candidate, state.waiting - places, allowedStops, now);
+    }
+}
+
+// All members start together: nothing is stopped unless there will be room for all of them, on
+// workers whose tickets outlast the stops.
+void Dispatcher::preemptForGang(const Candidate &candidate, TimePoint now)
+{
+    const StepState &state = candidate.occurrence->steps[candidate.step];
+    const Step &step = candidate.job->spec.steps[candidate.step];
+    const bool needsTicket = candidate.job->spec.queue.advice.has_value();
+    struct Place
+    {
+        Worker *worker;
+        int64_t coming;  // tasks that fit once the runs that are being stopped have ended
+        int64_t reclaim; // more of them without the less urgent runs
+    };
+    std::vector<Place> places;
+    int64_t coming = 0;
+    int64_t reclaim = 0;
+    for (Worker *worker : m_rooms.at(candidate.job->spec.queue.service).workers) {
+        if (!step.each.fitsIn(worker->entry.capacity) || !isUsable(*worker, candidate))
+            continue;
+        const Ticket *const ticket =
+                needsTicket ? findTicket(state, *worker, now + longestStop) : nullptr;
+        if (needsTicket && !ticket)
+            continue;
+        const int64_t fits = tasksThatFit(comingRoom(*worker), step);
+        const int64_t most = tasksThatFit(
+                reclaimableRoom(*worker, candidate.job->spec.queue.priority, now), step);
+        places.push_back({worker, fits, most - fits});
+        coming += fits;
+        reclaim += most - fits;
+    }
+    if (coming >= step.count || coming + reclaim < step.count)
+        return;
+    // Workers that gain the most places first: fewer of them are disturbed.
+    std::sort(places.begin(), places.end(),
+              [](const Place &a, const Place &b) { return a.reclaim > b.reclaim; });
+    size_t allowedStops = maxPreemptionsPerGang;
+    for (const Place &place : places) {
+        if (coming >= step.count)
+            return;
+        coming += preemptOn(*place.worker, candidate, step.count - coming, allowedStops, now);
     }
 }
 
--- /dev/null
+++ b/tests/jobs/gang_test.cpp
@@ -0,0 +1,167 @@
+// Tests of the decisions for gangs: what they ask advice about, and what they may take from others.
+
+#include "jobs/dispatcher.h"
+
+#include <absl/strings/str_cat.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+namespace {
+
+using namespace cwl;
+using namespace cwl::jobs;
+
+TimePoint at(int64_t ms)
+{
+    return TimePoint(seconds(1000) + milliseconds(ms));
+}
+
+JobSpec makeJob(const std::string &id, uint32_t count, int64_t priority)
+{
+    JobSpec spec;
+    spec.id = JobId(id);
+    spec.queue = {.name = "queue",
+                  .service = "service",
+                  .priority = priority,
+                  .maxAttempts = 3,
+                  .stretch = 4};
+    Step step;
+    step.count = count;
+    step.each = {Millicores(1000), Mebibytes(100), {}};
+    step.estimate = seconds(4);
+    spec.steps = {step};
+    return spec;
+}
+
+JobSpec makeGang(const std::string &id, uint32_t count)
+{
+    JobSpec spec = makeJob(id, count, 1);
+    spec.steps[0].gang = true;
+    return spec;
+}
+
+class GangTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(GangTest);
+    CPPUNIT_TEST(gangsAskAboutDifferentWorkers);
+    CPPUNIT_TEST(gangAsksAgainBeforeItsTicketsEnd);
+    CPPUNIT_TEST(gangTakesRoomFromLessUrgentWork);
+    CPPUNIT_TEST(gangTakesNothingFromWorkThatWouldBeLate);
+    CPPUNIT_TEST(gangTakesNothingWithoutRoomForAllOfIt);
+    CPPUNIT_TEST_SUITE_END();
+
+    Dispatcher m_dispatcher{DispatcherSettings{}};
+
+    void addWorkers(int count, int64_t cores)
+    {
+        for (int number = 0; number < count; ++number) {
+            WorkerEntry entry;
+            entry.id = WorkerId(absl::StrCat("w", number));
+            entry.address = entry.id.value();
+            entry.service = "service";
+            entry.capacity = {Millicores(cores), Mebibytes(10000), {}};
+            m_dispatcher.putWorker(entry, at(0));
+            report(entry.id.value(), 10, {});
+        }
+    }
+
+    void report(const std::string &id, int64_t ms, const std::vector<RunningTask> &running)
+    {
+        WorkerReport news;
+        news.clockMs = ms + 5000;
+        news.born = 1;
+        news.running = running;
+        m_dispatcher.onReport(WorkerId(id), news, at(ms - 2), at(ms));
+    }
+
+    Orders decide(int64_t ms) { return m_dispatcher.decide(at(ms), UnixMilliseconds(0)); }
+
+    // Fills every worker with one run of a less urgent job.
+    void fill(int workers, bool checkpoints)
+    {
+        JobSpec less = makeJob("less", uint32_t(workers), 2);
+        less.steps[0].checkpoints = checkpoints;
+        m_dispatcher.addJob(less, at(10));
+        const Orders orders = decide(20);
+        CPPUNIT_ASSERT_EQUAL(size_t(workers), orders.starts.size());
+        for (const StartOrder &order : orders.starts) {
+            m_dispatcher.onStartAnswered(order, OrderAnswer::Accepted, at(25));
+            report(order.worker.value(), 500, {{order.task, order.attempt, "saved", 10, 1000}});
+        }
+    }
+
+public:
+    void setUp() override { m_dispatcher.begin(Epoch(1), at(0)); }
+
+    // Guards against gangs that wait beside free room: all asked about the same workers, and the
+    // first one to start took the room from the others, which held tickets for nothing else.
+    void gangsAskAboutDifferentWorkers()
+    {
+        addWorkers(60, 1000);
+        for (const char *id : {"first", "second"}) {
+            JobSpec gang = makeGang(id, 3);
+            gang.queue.advice = AdvicePolicy{milliseconds(700), milliseconds(10), seconds(2)};
+            m_dispatcher.addJob(gang, at(10));
+        }
+        Orders orders = decide(20);
+        CPPUNIT_ASSERT_EQUAL(size_t(2), orders.queries.size());
+        for (AdviceQuery &query : orders.queries) {
+            CPPUNIT_ASSERT(query.workers.size() > 6); // more than the gang could need
+            std::sort(query.workers.begin(), query.workers.end());
+        }
+        CPPUNIT_ASSERT(orders.queries[0].workers != orders.queries[1].workers);
+    }
+
+    // Guards against a gang that holds no valid ticket for most of the time that it waits: it asked
+    // again only after three times the time of a question.
+    void gangAsksAgainBeforeItsTicketsEnd()
+    {
+        addWorkers(2, 1000);
+        JobSpec gang = makeGang("gang", 2);
+        gang.queue.advice = AdvicePolicy{milliseconds(700), milliseconds(10), seconds(2)};
+        m_dispatcher.addJob(gang, at(10));
+        const Orders asked = decide(20);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), asked.queries.size());
+        m_dispatcher.onAdvice(asked.queries[0], {{WorkerId("w0"), "ticket"}}, at(740));
+        addWorkers(4, 1000);
+        for (int number = 0; number < 4; ++number)
+            report(absl::StrCat("w", number), 2400, {});
+        CPPUNIT_ASSERT_EQUAL(size_t(1), decide(2410).queries.size());
+    }
+
+    // Guards against gangs that wait until ends happen to leave room in enough places, while work
+    // that has time to spare fills them again.
+    void gangTakesRoomFromLessUrgentWork()
+    {
+        addWorkers(3, 1000);
+        fill(3, true);
+        m_dispatcher.addJob(makeGang("gang", 2), at(600));
+        CPPUNIT_ASSERT_EQUAL(size_t(2), decide(610).stops.size());
+    }
+
+    // Guards against time that is moved from one late job to another.
+    void gangTakesNothingFromWorkThatWouldBeLate()
+    {
+        addWorkers(3, 1000);
+        fill(3, true);
+        for (int number = 0; number < 3; ++number)
+            report(absl::StrCat("w", number), 14000,
+                   {{absl::StrCat("less.0.0.", number), 1, "saved", 20, 1000}});
+        m_dispatcher.addJob(makeGang("gang", 2), at(14010));
+        CPPUNIT_ASSERT(decide(14020).stops.empty());
+    }
+
+    // Guards against work that is stopped for a gang that can't start then.
+    void gangTakesNothingWithoutRoomForAllOfIt()
+    {
+        addWorkers(3, 1000);
+        fill(3, true);
+        m_dispatcher.addJob(makeGang("gang", 4), at(600));
+        CPPUNIT_ASSERT(decide(610).stops.empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GangTest);
+
+} // namespace
