Store rows through other members, answer soon while the store is silent, tell the owner of cancellations

With a store 60 times slower 8 parts accepted 32 transactions a second in all, for 55 jobs a second. Cancellations reached the owner by the feed alone. Change: a member that the store does not serve hands the row to the owner or another member; while nothing has reached the store for 0.9 s a job is refused at once, Retry-After grows with the outage up to 3 s; an attempt without an answer is repeated after 0.33 s to 0.88 s in step with the store's answers; jobs lie in 32 parts, read in parallel; the member that stored a cancellation tells the owner.

--- a/src/cell/acceptance.cpp
+++ b/src/cell/acceptance.cpp
@@ -4,9 +4,16 @@
 #include "node/log.h"
 
 #include <algorithm>
+#include <array>
 
 namespace cwl::cell {
 
+const char *storedName(Stored stored)
+{
+    constexpr std::array names = {"yes", "before", "no", "unknown"};
+    return names[size_t(stored)];
+}
+
 Acceptance::Acceptance(boost::asio::io_context &context, TableStore &store)
     : m_context(context)
     , m_store(store)
@@ -15,17 +22,17 @@
 
 void Acceptance::put(Row row, TimePoint deadline, Callback callback)
 {
-    if (m_waiting >= maxWaitingEntries) {
+    const TimePoint now = BootClock::now();
+    if (m_waiting >= maxWaitingEntries || isSilent(now)) {
         callback(Stored::No);
         return;
     }
     ++m_waiting;
-    const TimePoint now = BootClock::now();
     auto entry = std::make_shared<Entry>();
     const std::string name = row.part;
     entry->row = std::move(row);
-    entry->deadline = deadline;
-    entry->patience = std::min(deadline - answerMargin, now + acceptPatience);
+    entry->refuseAt = std::min(deadline - answerMargin, now + refusalPatience);
+    entry->giveUpAt = std::min(deadline - answerMargin, now + acceptPatience);
     entry->callback = std::move(callback);
     std::unique_ptr<Part> &part = m_parts[name];
     if (!part)
@@ -47,7 +54,7 @@
     for (size_t index = 0; index < part.entries.size();) {
         const std::shared_ptr<Entry> entry = part.entries[index];
         const bool isOver =
-                entry->mayBeStored ? now >= entry->deadline - answerMargin : now >= entry->patience;
+                isSilent(now) || now >= (entry->mayBeStored ? entry->giveUpAt : entry->refuseAt);
         if (!isOver) {
             ++index;
             continue;
@@ -85,15 +92,43 @@
         transaction.writes.push_back(entry->row);
         batch.push_back(entry);
     }
-    m_store.commit(transaction, BootClock::now() + acceptAttempt,
-                   [this, name, batch](const absl::StatusOr<TransactionResult> &result) {
-                       onAnswer(name, batch, result);
+    const TimePoint now = BootClock::now();
+    m_store.commit(transaction, now + m_attemptLimit,
+                   [this, name, batch, now](const absl::StatusOr<TransactionResult> &result) {
+                       onAnswer(name, batch, now, result);
                    });
 }
 
+bool Acceptance::isSilent(TimePoint now) const
+{
+    return m_lastFailure > m_lastAnswer && now - m_lastAnswer > storeSilence;
+}
+
+Duration Acceptance::silence(TimePoint now) const
+{
+    return isSilent(now) ? now - m_lastAnswer : Duration::zero();
+}
+
+// Keeps the limit of an attempt in step with the store: an answer that is lost should not cost
+// much more than one that comes.
+void Acceptance::noteAttempt(TimePoint sentAt, bool isAnswered)
+{
+    const TimePoint now = BootClock::now();
+    if (!isAnswered) {
+        m_lastFailure = now;
+        m_attemptLimit = std::min(longestAttempt, 2 * m_attemptLimit);
+        return;
+    }
+    m_lastAnswer = now;
+    m_answerTime += (now - sentAt - m_answerTime) / 4;
+    m_attemptLimit =
+            std::clamp<Duration>(attemptFactor * m_answerTime, shortestAttempt, longestAttempt);
+}
+
 void Acceptance::onAnswer(const std::string &name, std::vector<std::shared_ptr<Entry>> batch,
-                          const absl::StatusOr<TransactionResult> &result)
+                          TimePoint sentAt, const absl::StatusOr<TransactionResult> &result)
 {
+    noteAttempt(sentAt, result.ok());
     Part &part = *m_parts.at(name);
     if (result.ok() && result->isCommitted) {
         for (const std::shared_ptr<Entry> &entry : batch)
--- a/src/cell/acceptance.h
+++ b/src/cell/acceptance.h
@@ -12,6 +12,7 @@
 #include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -21,13 +22,20 @@
 
 namespace cwl::cell {
 
-constexpr size_t maxAcceptBatch = 40;                  // the store takes 100 entries a call
-constexpr size_t maxAcceptBytes = 500000;              // and 1 MB, encoded
-constexpr size_t maxWaitingEntries = 2000;             // further ones are refused
-constexpr Duration acceptAttempt = milliseconds(700);  // for one answer of the store
-constexpr Duration acceptPause = milliseconds(60);     // between attempts
-constexpr Duration acceptPatience = milliseconds(900); // a certain failure is told after it
-constexpr Duration answerMargin = milliseconds(120);   // for the answer to reach the client
+constexpr size_t maxAcceptBatch = 40;      // the store takes 100 entries a call
+constexpr size_t maxAcceptBytes = 500000;  // and 1 MB, encoded
+constexpr size_t maxWaitingEntries = 2000; // further ones are refused
+// For one answer of the store: the shortest limit, doubled with each attempt that meets it.
+constexpr Duration shortestAttempt = milliseconds(330);
+constexpr Duration longestAttempt = milliseconds(880);
+constexpr int attemptFactor = 4;                        // of the smoothed time of an answer
+constexpr Duration acceptPause = milliseconds(60);      // between attempts
+constexpr Duration refusalPatience = milliseconds(300); // a certain failure is told after it
+constexpr Duration acceptPatience = milliseconds(900);  // an uncertain one
+// The store is taken for silent when nothing has reached it for so long; looks for changes, which
+// every member makes all the time, take up to 400 ms and a way.
+constexpr Duration storeSilence = milliseconds(900);
+constexpr Duration answerMargin = milliseconds(120); // for the answer to reach the client
 
 enum class Stored {
     Yes,     // by this entry
@@ -35,6 +43,7 @@
     No,      // and it never will be
     Unknown, // it may be, also later
 };
+const char *storedName(Stored stored);
 
 class Acceptance
 {
@@ -43,16 +52,21 @@
 
     Acceptance(boost::asio::io_context &context, TableStore &store);
 
-    // `row` is to be stored in its part unless its key exists. Answers by `deadline`.
+    // `row` is to be stored in its part unless its key exists. Answers by `deadline`, and soon if
+    // the store is silent: then nothing is sent.
     void put(Row row, TimePoint deadline, Callback callback);
+    // The store has answered another part of this process.
+    void noteStoreAnswered(TimePoint at) { m_lastAnswer = std::max(m_lastAnswer, at); }
     size_t waiting() const { return m_waiting; }
+    // How long the store has been silent; zero while it answers.
+    Duration silence(TimePoint now) const;
 
 private:
     struct Entry
     {
         Row row;
-        TimePoint deadline;
-        TimePoint patience;
+        TimePoint refuseAt; // while it is certainly not stored
+        TimePoint giveUpAt; // once it may be
         Callback callback;
         bool mayBeStored = false;
     };
@@ -67,9 +81,11 @@
         boost::asio::basic_waitable_timer<BootClock> timer;
     };
 
+    bool isSilent(TimePoint now) const;
+    void noteAttempt(TimePoint sentAt, bool isAnswered);
     void flush(const std::string &name);
     void onAnswer(const std::string &name, std::vector<std::shared_ptr<Entry>> batch,
-                  const absl::StatusOr<TransactionResult> &result);
+                  TimePoint sentAt, const absl::StatusOr<TransactionResult> &result);
     void finish(const std::shared_ptr<Entry> &entry, Stored outcome);
     void dropLate(Part &part);
 
@@ -77,6 +93,10 @@
     TableStore &m_store;
     std::unordered_map<std::string, std::unique_ptr<Part>> m_parts;
     size_t m_waiting = 0;
+    TimePoint m_lastAnswer = {};  // of the store, to any part of this process
+    TimePoint m_lastFailure = {}; // of an attempt here
+    Duration m_answerTime = {};   // smoothed
+    Duration m_attemptLimit = shortestAttempt;
 };
 
 } // namespace cwl::cell
--- a/src/cell/entry.cpp
+++ b/src/cell/entry.cpp
@@ -8,21 +8,10 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace cwl::cell {
 
-namespace {
-
-const char *storedName(Stored stored)
-{
-    constexpr std::array names = {"yes", "before", "no", "unknown"};
-    return names[size_t(stored)];
-}
-
-} // namespace
-
 Entry::Entry(boost::asio::io_context &context, TableStore &store, std::string member,
              LocalOwner local, metrics::Registry &metrics)
     : m_context(context)
@@ -30,9 +19,12 @@
     , m_member(std::move(member))
     , m_local(std::move(local))
     , m_acceptance(context, store)
+    , m_relay(context)
     , m_accepted(metrics.counter("cwl_cell_jobs_accepted_total", "Jobs stored."))
     , m_refused(metrics.counter("cwl_cell_jobs_refused_total", "Jobs certainly not stored."))
     , m_unknown(metrics.counter("cwl_cell_jobs_unknown_total", "Jobs that may be stored."))
+    , m_relayed(metrics.counter("cwl_cell_rows_relayed_total",
+                                "Rows handed to another member to be stored."))
     , m_acceptTime(
               metrics.histogram("cwl_cell_accept_seconds", "From a job's arrival to its answer."))
 {
@@ -49,6 +41,7 @@
     if (owner.address == m_ownerAddress)
         return;
     m_ownerAddress = owner.address;
+    m_relay.setOwner(owner.holder == m_member ? std::string() : owner.address);
     m_ownerClient.reset();
     if (owner.address.empty())
         return;
@@ -89,21 +82,58 @@
         callback(Answer::Refused);
         return;
     }
-    const std::string content = row.value;
-    m_acceptance.put(std::move(row), deadline,
-                     [this, id, began, content, queue = spec.queue.name,
-                      callback = std::move(callback)](Stored stored) {
-                         const Duration time = BootClock::now() - began;
-                         m_acceptTime.observe(time);
-                         log::info("job_submitted",
-                                   {{"job", id.value()},
-                                    {"queue", queue},
-                                    {"stored", storedName(stored)},
-                                    {"time", time}});
-                         if (stored == Stored::Yes)
-                             tellOwner(content);
-                         callback(countedAnswer(stored));
-                     });
+    store(std::move(row), deadline,
+          [this, id, began, queue = spec.queue.name,
+           callback = std::move(callback)](Stored stored) {
+              const Duration time = BootClock::now() - began;
+              m_acceptTime.observe(time);
+              log::info("job_submitted",
+                        {{"job", id.value()},
+                         {"queue", queue},
+                         {"stored", storedName(stored)},
+                         {"time", time}});
+              callback(countedAnswer(stored));
+          });
+}
+
+// Stores a row here or, if the store does not serve this instance, through another member.
+void Entry::store(Row row, TimePoint deadline, std::function<void(Stored)> callback)
+{
+    putLocally(row, deadline, [this, row, deadline, callback = std::move(callback)](Stored stored) {
+        const TimePoint limit = deadline - answerMargin;
+        if (stored == Stored::Yes || stored == Stored::Before || BootClock::now() >= limit) {
+            callback(stored);
+            return;
+        }
+        m_relayed.add();
+        m_relay.put(row, limit, [stored, callback](Stored relayed) {
+            // What an attempt here may have done stays open until another member finds it stored.
+            callback(relayed == Stored::No ? stored : relayed);
+        });
+    });
+}
+
+Duration Entry::retryAfter() const
+{
+    return std::clamp(m_acceptance.silence(BootClock::now()), shortestRetryAfter,
+                      longestRetryAfter);
+}
+
+void Entry::putLocally(Row row, TimePoint deadline, std::function<void(Stored)> callback)
+{
+    m_acceptance.put(row, deadline, [this, row, callback = std::move(callback)](Stored stored) {
+        if (stored == Stored::Yes)
+            tellOwner(row);
+        callback(stored);
+    });
+}
+
+void Entry::storeFor(const std::string &key, std::string value,
+                     std::function<void(Stored)> callback)
+{
+    const JobId id(key.substr(0, key.find('!')));
+    putLocally({jobsTable, jobPart(id), key, std::move(value)}, BootClock::now() + relayTimeout,
+               std::move(callback));
 }
 
 Answer Entry::countedAnswer(Stored stored)
@@ -123,20 +153,21 @@
     return Answer::Unknown;
 }
 
-// The store's feed tells the owner of every job; this is sooner, above all while the feed is
-// silent. Nothing depends on its arrival.
-void Entry::tellOwner(const std::string &row)
+// The store's feed tells the owner of every job and cancellation; this is sooner, above all while
+// the feed is silent. Nothing depends on its arrival.
+void Entry::tellOwner(const Row &row)
 {
     if (m_owner.holder == m_member) {
-        m_local.accepted(row);
+        m_local.stored(row.key, row.value);
         return;
     }
     if (!m_ownerClient)
         return;
     http::Request request;
     request.method = "POST";
-    request.path = "/cell/accepted";
-    request.body = row;
+    request.path = "/cell/stored";
+    request.query = "key=" + row.key;
+    request.body = row.value;
     m_ownerClient->send(std::move(request), BootClock::now() + ownerTimeout,
                         [](const absl::StatusOr<http::Response> &response) {
                             if (!response.ok())
@@ -153,7 +184,7 @@
                     return;
                 }
                 Row row = {jobsTable, jobPart(id), id.value() + cancelSuffix, "{}"};
-                m_acceptance.put(std::move(row), deadline, [id, callback](Stored stored) {
+                store(std::move(row), deadline, [id, callback](Stored stored) {
                     log::info("cancel_submitted",
                               {{"job", id.value()}, {"stored", storedName(stored)}});
                     const bool isStored = stored == Stored::Yes || stored == Stored::Before;
--- a/src/cell/entry.h
+++ b/src/cell/entry.h
@@ -6,6 +6,7 @@
 #include "cell/acceptance.h"
 #include "cell/ownership.h"
 #include "cell/ports.h"
+#include "cell/relay.h"
 #include "cell/tables.h"
 #include "http/client.h"
 #include "metrics/metrics.h"
@@ -24,9 +25,12 @@
 
 constexpr Duration ownerTimeout = milliseconds(350); // of a question to the owner
 constexpr Duration storeReadTimeout = milliseconds(900);
-constexpr Duration retryAfterRefusal = milliseconds(500); // told to refused clients
-constexpr Duration waitingCountAge = milliseconds(1500);  // of a count that is told again
-constexpr size_t maxJobTasks = 5000;                      // of one job
+// When refused clients are told to come back. An outage that has lasted for some time is expected
+// to last as long again.
+constexpr Duration shortestRetryAfter = seconds(1); // the least that HTTP can say
+constexpr Duration longestRetryAfter = seconds(3);
+constexpr Duration waitingCountAge = milliseconds(1500); // of a count that is told again
+constexpr size_t maxJobTasks = 5000;                     // of one job
 constexpr size_t maxJobBytes = 45000; // stored form; a row of the store holds 65,536 in base64
 
 enum class Answer {
@@ -55,7 +59,8 @@
 {
     std::function<void(JobId, std::function<void(std::optional<StateAnswer>)>)> state;
     std::function<void(std::function<void(std::optional<Json::Value>)>)> waiting;
-    std::function<void(std::string)> accepted; // a job's row, once it is stored
+    // The row of a job or of a cancellation, once it is stored.
+    std::function<void(std::string key, std::string value)> stored;
 };
 
 class Entry
@@ -68,6 +73,8 @@
 
     void setConfig(std::shared_ptr<const jobs::CellConfig> config);
     void setOwner(const OwnerRow &owner);
+    void setPeers(std::vector<std::string> addresses) { m_relay.setPeers(std::move(addresses)); }
+    void noteStoreAnswered(TimePoint at) { m_acceptance.noteStoreAnswered(at); }
 
     // Section: callers
 
@@ -82,6 +89,13 @@
     void countWaiting(const std::string &queue, TimePoint deadline,
                       std::function<void(CountAnswer)> callback);
 
+    Duration retryAfter() const; // for a client that is refused now
+
+    // Section: other members
+
+    // Stores the row of a job or of a cancellation for a member that does not reach the store.
+    void storeFor(const std::string &key, std::string value, std::function<void(Stored)> callback);
+
 private:
     void readState(const JobId &id, TimePoint deadline, std::function<void(StateAnswer)> callback);
     void readJob(const JobId &id, TimePoint deadline,
@@ -89,7 +103,9 @@
     void askOwner(const std::string &path, const std::string &query, TimePoint deadline,
                   std::function<void(std::optional<Json::Value>)> callback);
     Answer countedAnswer(Stored stored);
-    void tellOwner(const std::string &row);
+    void store(Row row, TimePoint deadline, std::function<void(Stored)> callback);
+    void putLocally(Row row, TimePoint deadline, std::function<void(Stored)> callback);
+    void tellOwner(const Row &row);
     void onCounts(std::optional<Json::Value> counts);
 
     boost::asio::io_context &m_context;
@@ -97,6 +113,7 @@
     const std::string m_member;
     const LocalOwner m_local;
     Acceptance m_acceptance;
+    Relay m_relay;
     std::shared_ptr<const jobs::CellConfig> m_config;
     OwnerRow m_owner = {};
     std::shared_ptr<http::Client> m_ownerClient;
@@ -106,6 +123,7 @@
     metrics::Counter &m_accepted;
     metrics::Counter &m_refused;
     metrics::Counter &m_unknown;
+    metrics::Counter &m_relayed;
     metrics::Histogram &m_acceptTime;
 };
 
--- a/src/cell/member.cpp
+++ b/src/cell/member.cpp
@@ -76,9 +76,10 @@
             answer(counts);
         });
     };
-    local.accepted = [this](std::string row) {
-        asio::post(m_node.controlContext(),
-                   [this, row = std::move(row)] { m_owner->noteAccepted(row); });
+    local.stored = [this](std::string key, std::string value) {
+        asio::post(m_node.controlContext(), [this, key = std::move(key), value = std::move(value)] {
+            m_owner->noteStored(key, value);
+        });
     };
     m_entry = std::make_unique<Entry>(node.trafficContext(), *m_links.trafficStore, member,
                                       std::move(local), node.metrics());
@@ -89,6 +90,12 @@
     m_owner->ownerChanged = [this](const OwnerRow &owner) {
         asio::post(m_node.trafficContext(), [this, owner] { m_entry->setOwner(owner); });
     };
+    m_owner->membersChanged = [this](const std::vector<std::string> &addresses) {
+        asio::post(m_node.trafficContext(), [this, addresses] { m_entry->setPeers(addresses); });
+    };
+    m_owner->storeAnswered = [this](TimePoint at) {
+        asio::post(m_node.trafficContext(), [this, at] { m_entry->noteStoreAnswered(at); });
+    };
     addRoutes(node);
     node.addReadyGate("config", [this] { return m_owner->hasConfig(); });
     node.addReadyGate("store", [this] { return m_owner->canReachStore(BootClock::now()); });
@@ -147,13 +154,21 @@
             return m_owner->waitingByQueue();
         });
     });
-    node.route("/cell/accepted",
+    node.route("/cell/stored",
                [this](const http::Request &request, const http::Responder &respond) {
-                   answerOnControl(respond, [this, row = request.body]() {
-                       m_owner->noteAccepted(row);
+                   const std::string key = queryValue(request.query, "key");
+                   answerOnControl(respond, [this, key, value = request.body]() {
+                       m_owner->noteStored(key, value);
                        return std::optional(Json::Value(Json::objectValue));
                    });
                });
+    node.route("/cell/relay", [this](const http::Request &request, const http::Responder &respond) {
+        m_entry->storeFor(queryValue(request.query, "key"), request.body, [respond](Stored stored) {
+            http::Response response;
+            response.body = encodeStored(stored);
+            respond(std::move(response));
+        });
+    });
     node.route("/cell/owner", [this](const http::Request &request, const http::Responder &respond) {
         int64_t cores = 0;
         if (!absl::SimpleAtoi(queryValue(request.query, "cores"), &cores))
--- a/src/cell/owner.cpp
+++ b/src/cell/owner.cpp
@@ -18,16 +18,20 @@
     , m_store(store)
     , m_gateway(workers)
     , m_reader(reader)
-    , m_ownership(
-              context, store, {options.member, options.address, options.cores},
-              {.won = [this](Epoch epoch, const OwnerRow &previous) { won(epoch, previous); },
-               .lost = [this](const char *reason) { lost(reason); },
-               .changed =
-                       [this](const OwnerRow &owner) {
-                           if (ownerChanged)
-                               ownerChanged(owner);
-                       },
-               .confirmed = [this](TimePoint sentAt) { m_dispatcher.confirmOwnership(sentAt); }})
+    , m_ownership(context, store, {options.member, options.address, options.cores},
+                  {.won = [this](Epoch epoch, const OwnerRow &previous) { won(epoch, previous); },
+                   .lost = [this](const char *reason) { lost(reason); },
+                   .changed =
+                           [this](const OwnerRow &owner) {
+                               if (ownerChanged)
+                                   ownerChanged(owner);
+                           },
+                   .confirmed = [this](TimePoint sentAt) { m_dispatcher.confirmOwnership(sentAt); },
+                   .answered =
+                           [this](TimePoint at) {
+                               if (storeAnswered)
+                                   storeAnswered(at);
+                           }})
     , m_dispatcher(options.dispatcher)
     , m_advice(context, advice)
     , m_configFollower(context, store, {.table = reader.configTable},
@@ -72,6 +76,7 @@
     m_configFollower.start();
     m_ownership.start();
     announce();
+    readMembers();
     probeOwner();
 }
 
@@ -173,8 +178,6 @@
 
 void Owner::readMembers()
 {
-    if (!m_ownership.isOwner())
-        return;
     readParts(m_store, membersTable, {ownerPart},
               [this, alive = m_alive](const absl::StatusOr<Page> &page) {
                   if (!*alive)
@@ -186,8 +189,12 @@
                               addresses.push_back(row.value);
                       }
                       m_advice.setMembers(addresses);
+                      if (membersChanged)
+                          membersChanged(addresses);
                   }
-                  after(m_membersTimer, membersInterval, [this] { readMembers(); });
+                  after(m_membersTimer,
+                        m_ownership.isOwner() ? membersInterval : slowMembersInterval,
+                        [this] { readMembers(); });
               });
 }
 
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -34,9 +34,10 @@
 constexpr Duration watchRetryPause = milliseconds(400);  // after a failed look
 constexpr Duration commitGap = milliseconds(12);         // ends that arrive together, one write
 constexpr Duration acknowledgeLimit = milliseconds(150); // a look waits so long for a write
-constexpr Duration membersInterval = seconds(2);         // between looks at the members' table
-constexpr size_t maxRemovals = 15;                       // in one write, beside the other rows
-constexpr Duration expiryInterval = seconds(5);          // between removals of old jobs
+constexpr Duration membersInterval = seconds(2); // between looks at the members' table, as owner
+constexpr Duration slowMembersInterval = seconds(10); // as another member
+constexpr size_t maxRemovals = 15;                    // in one write, beside the other rows
+constexpr Duration expiryInterval = seconds(5);       // between removals of old jobs
 constexpr Duration predecessorTimeout = milliseconds(500);
 constexpr Duration predecessorInterval = milliseconds(300); // between questions to the last owner
 constexpr double workerClockMargin = 1.03;                  // a worker's clock is up to 2% slow
@@ -64,9 +65,12 @@
     // Called with each configuration that comes into force, and with each change of the owner.
     std::function<void(const jobs::CellConfig &config)> configChanged;
     std::function<void(const OwnerRow &owner)> ownerChanged;
+    // Called with the addresses of the other members, and with each answer of the store.
+    std::function<void(const std::vector<std::string> &addresses)> membersChanged;
+    std::function<void(TimePoint at)> storeAnswered;
 
-    // A job that a member has just stored: sooner than by the store's feed.
-    void noteAccepted(const std::string &row);
+    // A job or a cancellation that a member has just stored: sooner than by the store's feed.
+    void noteStored(const std::string &key, const std::string &value);
 
     // Section: questions, answered only while this member owns the cell and has loaded it
 
--- a/src/cell/ownerload.cpp
+++ b/src/cell/ownerload.cpp
@@ -290,11 +290,14 @@
     m_dispatcher.addJob(*std::move(spec), BootClock::now());
 }
 
-void Owner::noteAccepted(const std::string &row)
+void Owner::noteStored(const std::string &key, const std::string &value)
 {
     if (!m_isActive)
         return;
-    addJob(row, "member");
+    if (absl::EndsWith(key, cancelSuffix))
+        m_dispatcher.cancelJob(JobId(key.substr(0, key.find('!'))), BootClock::now());
+    else
+        addJob(value, "member");
     scheduleDecision();
 }
 
@@ -344,7 +347,6 @@
     m_decideTimer.cancel();
     m_storeTimer.cancel();
     m_isDecisionDue = false;
-    m_membersTimer.cancel();
     m_dispatcher.begin(Epoch(), BootClock::now());
     log::info("owner_stopped", {{"reason", reason}});
 }
--- a/src/cell/ownership.cpp
+++ b/src/cell/ownership.cpp
@@ -96,6 +96,7 @@
                         if (std::exchange(m_isStoreLost, false))
                             log::info("store_regained", {{"table", leaseTable}});
                         m_lastAnswer = BootClock::now();
+                        m_events.answered(m_lastAnswer);
                         for (const Row &row : page->rows)
                             onLease(row);
                         m_leaseSeen = std::max(m_leaseSeen, page->revision);
--- a/src/cell/ownership.h
+++ b/src/cell/ownership.h
@@ -67,6 +67,7 @@
     std::function<void(const char *reason)> lost;
     std::function<void(const OwnerRow &owner)> changed; // the holder, as far as is known
     std::function<void(TimePoint sentAt)> confirmed;    // a write of this owner took effect
+    std::function<void(TimePoint at)> answered;         // the store answered a look
 };
 
 class Ownership
--- /dev/null
+++ b/src/cell/relay.cpp
@@ -0,0 +1,152 @@
+#include "cell/relay.h"
+
+#include "base/error.h"
+#include "base/json.h"
+#include "base/random.h"
+#include "node/log.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cwl::cell {
+
+// One row that is being handed on.
+struct Relay::Request
+{
+    Row row;
+    TimePoint deadline;
+    Callback callback;
+    std::vector<std::string> tried = {};
+    bool mayBeStored = false;
+};
+
+std::string encodeStored(Stored stored)
+{
+    Json::Value value;
+    value["stored"] = storedName(stored);
+    return writeJson(value);
+}
+
+Stored decodeStored(const std::string &body)
+{
+    const absl::StatusOr<Json::Value> value = parseJson(body);
+    const auto name = value.ok() ? stringMember(*value, "stored")
+                                 : absl::StatusOr<std::string>(value.status());
+    for (const Stored stored : {Stored::Yes, Stored::Before, Stored::No}) {
+        if (name.ok() && *name == storedName(stored))
+            return stored;
+    }
+    return Stored::Unknown;
+}
+
+Relay::Relay(boost::asio::io_context &context)
+    : m_context(context)
+    , m_random(randomSeed())
+{
+}
+
+void Relay::setPeers(std::vector<std::string> addresses)
+{
+    m_addresses = std::move(addresses);
+    for (auto peer = m_peers.begin(); peer != m_peers.end();) {
+        const bool isKnown = peer->first == m_owner
+                || std::find(m_addresses.begin(), m_addresses.end(), peer->first)
+                        != m_addresses.end();
+        if (isKnown) {
+            ++peer;
+            continue;
+        }
+        // A client must not end inside its own callback.
+        boost::asio::post(m_context, [client = std::move(peer->second.client)] {});
+        peer = m_peers.erase(peer);
+    }
+}
+
+std::string Relay::choose(const std::vector<std::string> &tried, TimePoint now)
+{
+    const auto isFree = [&](const std::string &address) {
+        const auto peer = m_peers.find(address);
+        return std::find(tried.begin(), tried.end(), address) == tried.end()
+                && (peer == m_peers.end() || now >= peer->second.pausedUntil);
+    };
+    if (!m_owner.empty() && isFree(m_owner))
+        return m_owner;
+    std::vector<std::string> free;
+    std::copy_if(m_addresses.begin(), m_addresses.end(), std::back_inserter(free), isFree);
+    return free.empty() ? std::string() : free[m_random() % free.size()];
+}
+
+std::shared_ptr<http::Client> Relay::clientOf(const std::string &address)
+{
+    Peer &peer = m_peers[address];
+    if (peer.client)
+        return peer.client;
+    auto client = http::Client::create(m_context,
+                                       {.address = address,
+                                        .connectTimeout = relayConnectTimeout,
+                                        .traffic = Traffic::RpcControl});
+    if (!client.ok()) {
+        log::warn("member_address_invalid", {{"address", address}, {"error", client.status()}});
+        return nullptr;
+    }
+    peer.client = *std::move(client);
+    return peer.client;
+}
+
+void Relay::put(const Row &row, TimePoint deadline, Callback callback)
+{
+    auto request = std::make_shared<Request>();
+    request->row = row;
+    request->deadline = deadline;
+    request->callback = std::move(callback);
+    ask(request);
+}
+
+void Relay::ask(const std::shared_ptr<Request> &request)
+{
+    const TimePoint now = BootClock::now();
+    const std::string address = choose(request->tried, now);
+    const bool isOver = now >= request->deadline || int(request->tried.size()) >= maxRelays;
+    const std::shared_ptr<http::Client> client =
+            isOver || address.empty() ? nullptr : clientOf(address);
+    if (!client) {
+        request->callback(request->mayBeStored ? Stored::Unknown : Stored::No);
+        return;
+    }
+    request->tried.push_back(address);
+    http::Request message;
+    message.method = "POST";
+    message.path = "/cell/relay";
+    message.query = "key=" + request->row.key;
+    message.body = request->row.value;
+    client->send(std::move(message), std::min(request->deadline, now + relayTimeout),
+                 [this, request, address](const absl::StatusOr<http::Response> &response) {
+                     onAnswer(request, address, response);
+                 });
+}
+
+void Relay::onAnswer(const std::shared_ptr<Request> &request, const std::string &address,
+                     const absl::StatusOr<http::Response> &response)
+{
+    Stored stored = Stored::Unknown;
+    if (response.ok() && response->status == 200)
+        stored = decodeStored(response->body);
+    else if (!response.ok() && failureOf(response.status()) == Failure::ConnectionRefused)
+        stored = Stored::No;
+    log::info("row_relayed",
+              {{"key", request->row.key},
+               {"member", address},
+               {"stored", storedName(stored)},
+               {"error", response.ok() ? absl::OkStatus() : response.status()}});
+    if (stored == Stored::Yes || stored == Stored::Before) {
+        request->callback(stored);
+        return;
+    }
+    m_peers[address].pausedUntil = BootClock::now() + peerPause;
+    request->mayBeStored = request->mayBeStored || stored == Stored::Unknown;
+    ask(request);
+}
+
+} // namespace cwl::cell
--- /dev/null
+++ b/src/cell/relay.h
@@ -0,0 +1,66 @@
+// Hands rows to other members to be stored, for a member that does not reach the platform's store:
+// the store may serve them though it turns this instance away. Lives on a traffic thread.
+
+#pragma once
+
+#include "cell/acceptance.h"
+#include "cell/ports.h"
+#include "http/client.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace cwl::cell {
+
+constexpr Duration relayTimeout = milliseconds(450);        // of one member's answer
+constexpr Duration relayConnectTimeout = milliseconds(200); // it is in the same region
+constexpr Duration peerPause = seconds(2);                  // after a failure of a member
+constexpr int maxRelays = 2;                                // members asked about one row
+
+// Bodies between members: the answer to POST /cell/relay.
+std::string encodeStored(Stored stored);
+Stored decodeStored(const std::string &body); // Unknown for what cannot be read
+
+class Relay
+{
+public:
+    using Callback = std::function<void(Stored)>;
+
+    explicit Relay(boost::asio::io_context &context);
+
+    // Addresses of the other members, "ip:port". The owner is asked first: it was seen to write.
+    void setPeers(std::vector<std::string> addresses);
+    void setOwner(const std::string &address) { m_owner = address; }
+
+    // Asks up to `maxRelays` members to store the row. Answers No if all of them said that it
+    // certainly is not stored, or none could be reached.
+    void put(const Row &row, TimePoint deadline, Callback callback);
+
+private:
+    struct Request;
+    struct Peer
+    {
+        std::shared_ptr<http::Client> client;
+        TimePoint pausedUntil = {};
+    };
+
+    std::string choose(const std::vector<std::string> &tried, TimePoint now);
+    std::shared_ptr<http::Client> clientOf(const std::string &address);
+    void ask(const std::shared_ptr<Request> &request);
+    void onAnswer(const std::shared_ptr<Request> &request, const std::string &address,
+                  const absl::StatusOr<http::Response> &response);
+
+    boost::asio::io_context &m_context;
+    std::vector<std::string> m_addresses;
+    std::string m_owner;
+    std::map<std::string, Peer> m_peers; // by address; those that were asked
+    std::mt19937_64 m_random;
+};
+
+} // namespace cwl::cell
--- a/src/cell/tablefollower.cpp
+++ b/src/cell/tablefollower.cpp
@@ -12,7 +12,9 @@
 
 constexpr Duration readTimeout = milliseconds(1500);
 
-// Reads part after part; one call at a time keeps the store's load even.
+// Calls under way at once: a table of many parts is read in a few rounds, also by a slow store.
+constexpr size_t readsAtOnce = 6;
+
 struct PartsReader : std::enable_shared_from_this<PartsReader>
 {
     PartsReader(TableStore &tableStore, std::string tableName, std::vector<std::string> partNames,
@@ -24,40 +26,51 @@
     {
     }
 
-    void next(const std::string &from)
+    void begin()
     {
-        store.read({.table = table, .part = parts[position], .from = from},
-                   BootClock::now() + readTimeout,
-                   [self = shared_from_this()](absl::StatusOr<Page> page) {
-                       self->onPage(std::move(page));
+        while (position < parts.size() && underWay < readsAtOnce)
+            read(parts[position++], "");
+    }
+
+    void read(const std::string &part, const std::string &from)
+    {
+        ++underWay;
+        store.read({.table = table, .part = part, .from = from}, BootClock::now() + readTimeout,
+                   [self = shared_from_this(), part](absl::StatusOr<Page> page) {
+                       self->onPage(part, std::move(page));
                    });
     }
 
-    void onPage(absl::StatusOr<Page> page)
+    void onPage(const std::string &part, absl::StatusOr<Page> page)
     {
+        --underWay;
+        if (hasFailed)
+            return;
         if (!page.ok()) {
+            hasFailed = true;
             done(page.status());
             return;
         }
         all.revision = isFirst ? page->revision : std::min(all.revision, page->revision);
         isFirst = false;
+        const std::string last = page->rows.empty() ? std::string() : page->rows.back().key;
         std::move(page->rows.begin(), page->rows.end(), std::back_inserter(all.rows));
-        if (page->hasMore && !page->rows.empty()) {
-            next(all.rows.back().key + "\x01");
-            return;
-        }
-        if (++position == parts.size())
-            done(std::move(all));
+        if (page->hasMore && !last.empty())
+            read(part, last + "\x01");
         else
-            next("");
+            begin();
+        if (underWay == 0 && position == parts.size())
+            done(std::move(all));
     }
 
     TableStore &store;
     const std::string table;
     const std::vector<std::string> parts;
     const std::function<void(absl::StatusOr<Page>)> done;
-    size_t position = 0;
+    size_t position = 0; // of the next part
+    size_t underWay = 0; // calls
     bool isFirst = true;
+    bool hasFailed = false;
     Page all;
 };
 
@@ -66,7 +79,7 @@
 void readParts(TableStore &store, const std::string &table, std::vector<std::string> parts,
                std::function<void(absl::StatusOr<Page>)> done)
 {
-    std::make_shared<PartsReader>(store, table, std::move(parts), std::move(done))->next("");
+    std::make_shared<PartsReader>(store, table, std::move(parts), std::move(done))->begin();
 }
 
 TableFollower::TableFollower(boost::asio::io_context &context, TableStore &store,
--- a/src/cell/tables.h
+++ b/src/cell/tables.h
@@ -23,8 +23,9 @@
 constexpr const char *workersKey = "workers";   // in the owner's table: workers that it has used
 constexpr const char *cancelSuffix = "!cancel"; // follows the id in the key of a cancellation
 
-// Jobs are spread over parts by their id: a part carries out its transactions one by one.
-constexpr size_t jobParts = 8;
+// Jobs are spread over parts by their id: a part carries out its transactions one by one, so a slow
+// store accepts no more than a few jobs a second in each.
+constexpr size_t jobParts = 32;
 std::string jobPart(const JobId &id);
 std::string jobPartName(size_t number);
 
--- a/tests/cell/ownership_test.cpp
+++ b/tests/cell/ownership_test.cpp
@@ -39,6 +39,7 @@
         events.lost = [](const char *) {};
         events.changed = [](const OwnerRow &) {};
         events.confirmed = [](TimePoint) {};
+        events.answered = [](TimePoint) {};
         m_members.push_back(std::make_unique<Ownership>(
                 m_context, m_store, OwnershipOptions{name, "127.0.0.1:1", cores},
                 std::move(events)));
--- a/tests/usersplatform/cell_test.cpp
+++ b/tests/usersplatform/cell_test.cpp
@@ -49,6 +49,8 @@
     CPPUNIT_TEST(silentWorkerIsReplacedOnceItsLeaseHasEnded);
     CPPUNIT_TEST(stoppedMemberCutsNoRequest);
     CPPUNIT_TEST(refusalsAreTrue);
+    CPPUNIT_TEST(memberThatTheStoreTurnsAwayStoresThroughAnother);
+    CPPUNIT_TEST(silentStoreIsAnsweredForSoon);
     CPPUNIT_TEST_SUITE_END();
 
     struct Member
@@ -214,7 +216,8 @@
                     "\"127.0.0.1\", \"membersPort\": ",
                     m_ports->next(), ", \"callersAddress\": \"", member.callers,
                     "\", \"readinessAddress\": \"", member.readiness,
-                    "\", \"platform\": \"127.0.0.1:", m_store->port(),
+                    "\", \"platform\": \"127.0.0.1:",
+                    index + 1 == members ? m_store->sidePort() : m_store->port(),
                     "\", \"maxLeaseMs\": 6000, \"stopGraceMs\": 6000}");
             startMember(index);
         }
@@ -352,6 +355,42 @@
         CPPUNIT_ASSERT_EQUAL(410, status(m_members[2].callers, "GET", "/draw/" + refused));
         assertNothingBroken();
     }
+
+    // Guards against clients that are refused, or wait in vain, at an instance that the store turns
+    // away while it serves the others.
+    void memberThatTheStoreTurnsAwayStoresThroughAnother()
+    {
+        onStandins([this] { m_store->faults.refusesSide = true; });
+        std::vector<std::string> jobs;
+        for (int index = 0; index < 5; ++index) {
+            jobs.push_back(nextJob());
+            CPPUNIT_ASSERT_EQUAL(200,
+                                 status(m_members[members - 1].callers, "POST",
+                                        "/draw/" + jobs.back(), jobBody(1)));
+        }
+        for (const std::string &id : jobs)
+            waitForState(id, "completed");
+        assertNothingBroken();
+    }
+
+    // Guards against requests that are held until their clients give up while no member reaches
+    // the store, although nothing more can be done for them.
+    void silentStoreIsAnsweredForSoon()
+    {
+        onStandins([this] { m_store->faults.isSilent = true; });
+        // The first ones find out; their writes may have been carried out.
+        waitFor("a refusal", [this] {
+            return status(m_members[0].callers, "POST", "/draw/" + nextJob(), jobBody(1)) == 503;
+        });
+        const TimePoint began = BootClock::now();
+        CPPUNIT_ASSERT_EQUAL(
+                503, status(m_members[0].callers, "POST", "/draw/" + nextJob(), jobBody(1)));
+        // The other members' answers are waited for; a client's usual deadline is 3 s.
+        CPPUNIT_ASSERT(BootClock::now() - began < milliseconds(1500));
+        onStandins([this] { m_store->faults.isSilent = false; });
+        waitForState(submit(), "completed");
+        assertNothingBroken();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CellTest);
--- a/tests/usersplatform/tablestore.cpp
+++ b/tests/usersplatform/tablestore.cpp
@@ -51,6 +51,15 @@
     if (!server.ok())
         return server.status();
     m_server = *std::move(server);
+    auto side = http::Server::create(
+            m_context, {}, [this](const http::Request &request, const http::Responder &respond) {
+                if (faults.refusesSide)
+                    return answer(respond, 503, {});
+                handle(request, respond);
+            });
+    if (!side.ok())
+        return side.status();
+    m_sideServer = *std::move(side);
     return absl::OkStatus();
 }
 
--- a/tests/usersplatform/tablestore.h
+++ b/tests/usersplatform/tablestore.h
@@ -22,9 +22,10 @@
 
 struct StoreFaults
 {
-    double lostAnswers = 0; // share of writes that take effect and are not answered
-    bool refuses = false;   // everything is answered with 503
-    bool isSilent = false;  // nothing is answered
+    double lostAnswers = 0;   // share of writes that take effect and are not answered
+    bool refuses = false;     // everything is answered with 503
+    bool isSilent = false;    // nothing is answered
+    bool refusesSide = false; // like `refuses`, on the side port only
 };
 
 // Lives on the thread that runs the io_context.
@@ -35,6 +36,8 @@
 
     absl::Status open(); // Errors: as of http::Server
     uint16_t port() const { return m_server->port(); }
+    // The same store for instances that it may turn away while it serves the others.
+    uint16_t sidePort() const { return m_sideServer->port(); }
 
     // What the operator and the workers write.
     void put(const std::string &table, const std::string &key, const std::string &value);
@@ -70,6 +73,7 @@
 
     boost::asio::io_context &m_context;
     std::unique_ptr<http::Server> m_server;
+    std::unique_ptr<http::Server> m_sideServer;
     std::map<Key, StoredRow> m_rows;
     std::list<Waiter> m_waiters;
     std::mt19937_64 m_random;
