Learn of the other members soon after the start; wait for it in the test of relayed rows

Cause: users-platform-test memberThatTheStoreTurnsAwayStoresThroughAnother failed once: the member owned the cell, had read the members' table before the others had announced themselves, and knew none of them for its next 2 s. Change: the first read is 1.5 s after the start; the state dump tells the number of other members, and the test waits for it.

--- a/src/cell/owner.cpp
+++ b/src/cell/owner.cpp
@@ -76,7 +76,7 @@
     m_configFollower.start();
     m_ownership.start();
     announce();
-    readMembers();
+    after(m_membersTimer, firstMembersPause, [this] { readMembers(); });
     probeOwner();
 }
 
@@ -126,6 +126,7 @@
     value["isOwner"] = m_ownership.isOwner();
     value["isActive"] = m_isActive;
     value["configVersion"] = Json::Int64(m_config.version);
+    value["otherMembers"] = Json::UInt64(m_otherMembers);
     value["storeReachable"] = canReachStore(now);
     if (m_isActive)
         value["dispatcher"] = m_dispatcher.state(now);
@@ -188,6 +189,7 @@
                           if (row.value != m_options.address)
                               addresses.push_back(row.value);
                       }
+                      m_otherMembers = addresses.size();
                       m_advice.setMembers(addresses);
                       if (membersChanged)
                           membersChanged(addresses);
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -35,9 +35,10 @@
 constexpr Duration commitGap = milliseconds(12);         // ends that arrive together, one write
 constexpr Duration acknowledgeLimit = milliseconds(150); // a look waits so long for a write
 constexpr Duration membersInterval = seconds(2); // between looks at the members' table, as owner
-constexpr Duration slowMembersInterval = seconds(10); // as another member
-constexpr size_t maxRemovals = 15;                    // in one write, beside the other rows
-constexpr Duration expiryInterval = seconds(5);       // between removals of old jobs
+constexpr Duration slowMembersInterval = seconds(10);      // as another member
+constexpr Duration firstMembersPause = milliseconds(1500); // instances of a new cell start together
+constexpr size_t maxRemovals = 15;                         // in one write, beside the other rows
+constexpr Duration expiryInterval = seconds(5);            // between removals of old jobs
 constexpr Duration predecessorTimeout = milliseconds(500);
 constexpr Duration predecessorInterval = milliseconds(300); // between questions to the last owner
 constexpr double workerClockMargin = 1.03;                  // a worker's clock is up to 2% slow
@@ -167,7 +168,7 @@
     Timer m_announceTimer;
     Timer m_probeTimer;
     Timer m_predecessorTimer;
-    bool m_isAnnounced = false;
+    size_t m_otherMembers = 0; // as last read
 
     metrics::Counter &m_startsSent;
     metrics::Counter &m_endsSeen;
--- a/tests/usersplatform/cell_test.cpp
+++ b/tests/usersplatform/cell_test.cpp
@@ -59,6 +59,7 @@
         std::string settings;
         std::string callers;   // address
         std::string readiness; // address
+        std::string admin;     // address of its state dump
         int lives = 0;
     };
 
@@ -209,12 +210,14 @@
             Member &member = m_members[index];
             member.callers = harness::loopback(m_ports->next());
             member.readiness = harness::loopback(m_ports->next());
+            const uint16_t adminPort = m_ports->next();
+            member.admin = harness::loopback(adminPort);
             member.settings = absl::StrCat(m_folder, "/member", index, ".json");
             std::ofstream(member.settings) << absl::StrCat(
                     "{\"instance\": \"edge-", index,
                     "\", \"dataCentre\": \"zone-a\", \"region\": \"region\", \"address\": "
                     "\"127.0.0.1\", \"membersPort\": ",
-                    m_ports->next(), ", \"callersAddress\": \"", member.callers,
+                    adminPort, ", \"callersAddress\": \"", member.callers,
                     "\", \"readinessAddress\": \"", member.readiness,
                     "\", \"platform\": \"127.0.0.1:",
                     index + 1 == members ? m_store->sidePort() : m_store->port(),
@@ -360,6 +363,11 @@
     // away while it serves the others.
     void memberThatTheStoreTurnsAwayStoresThroughAnother()
     {
+        waitFor("its news of the other members", [this] {
+            std::string state;
+            status(m_members[members - 1].admin, "GET", "/state", {}, &state);
+            return state.find(absl::StrCat("\"otherMembers\":", members - 1)) != std::string::npos;
+        });
         onStandins([this] { m_store->faults.refusesSide = true; });
         std::vector<std::string> jobs;
         for (int index = 0; index < 5; ++index) {
