Order jobs by what they can still be worth; objectives belong to occurrences

An occurrence of a recurring job was judged by the objective of the first one. Late jobs of the most urgent queue stay before all others. Only jobs that can be in time preempt. The new test fails before.

--- a/src/jobs/advice.cpp
+++ b/src/jobs/advice.cpp
@@ -188,7 +188,7 @@
                     + policy.perWorker * int64_t(std::min<size_t>(m_workers.size(), 20))
                     + adviceEarly;
             if (isNear && remaining <= std::max(lead, policy.validity / 3))
-                askAdvice({0, &job, &occurrence, number}, orders, now);
+                askAdvice({0, Prospect::InTime, &job, &occurrence, number}, orders, now);
         }
     }
 }
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -8,26 +8,26 @@
 
 namespace {
 
-// Longest chain of estimated work through the steps.
-Duration longestChain(const std::vector<Step> &steps)
+// The longest chain of estimated work from the start of each step to the end of the job. A step
+// follows only earlier ones.
+std::vector<Duration> chainsOf(const std::vector<Step> &steps)
 {
-    std::vector<Duration> ends(steps.size());
-    Duration longest = {};
-    for (size_t number = 0; number < steps.size(); ++number) {
-        Duration begin = {};
+    std::vector<Duration> chains(steps.size());
+    for (size_t number = steps.size(); number-- > 0;) {
+        chains[number] += steps[number].estimate;
         for (const uint32_t before : steps[number].after) {
             if (before < number)
-                begin = std::max(begin, ends[before]);
+                chains[before] = std::max(chains[before], chains[number]);
         }
-        ends[number] = begin + steps[number].estimate;
-        longest = std::max(longest, ends[number]);
     }
-    return longest;
+    return chains;
 }
 
-Duration objectiveOf(const JobSpec &spec)
+Duration aimOf(const JobSpec &spec, const std::vector<Duration> &chains)
 {
-    const auto chain = double(longestChain(spec.steps).count());
+    const Duration longest =
+            chains.empty() ? Duration::zero() : *std::max_element(chains.begin(), chains.end());
+    const auto chain = double(longest.count());
     return Duration(int64_t(chain * spec.queue.stretch)) + spec.queue.allowance;
 }
 
@@ -159,10 +159,12 @@
     return job == m_jobs.end() ? nullptr : job->second.get();
 }
 
-void Dispatcher::addOccurrence(Job &job, uint32_t number)
+void Dispatcher::addOccurrence(Job &job, uint32_t number, TimePoint due)
 {
     Occurrence occurrence;
     occurrence.number = number;
+    occurrence.objective = due + job.aim;
+    occurrence.hopeless = due + lateFactor * job.aim;
     occurrence.steps.resize(job.spec.steps.size());
     for (size_t step = 0; step < occurrence.steps.size(); ++step) {
         occurrence.steps[step].tasks.resize(job.spec.steps[step].count);
@@ -171,11 +173,11 @@
     job.occurrences.push_back(std::move(occurrence));
 }
 
-void Dispatcher::addDueOccurrences(Job &job, UnixMilliseconds wallNow)
+void Dispatcher::addDueOccurrences(Job &job, TimePoint now, UnixMilliseconds wallNow)
 {
     if (job.spec.times == 0) {
         if (job.occurrences.empty())
-            addOccurrence(job, 0);
+            addOccurrence(job, 0, job.arrived);
         return;
     }
     const int64_t interval = std::max<int64_t>(
@@ -184,7 +186,7 @@
         const auto number = uint32_t(job.occurrences.size());
         if (wallNow.value() < job.spec.firstAt.value() + int64_t(number) * interval)
             return;
-        addOccurrence(job, number);
+        addOccurrence(job, number, now);
     }
 }
 
@@ -198,9 +200,8 @@
         spec.queue = queue->second;
     job->spec = std::move(spec);
     job->arrived = now;
-    const Duration objective = objectiveOf(job->spec);
-    job->objective = now + objective;
-    job->hopeless = now + lateFactor * objective;
+    job->chains = chainsOf(job->spec.steps);
+    job->aim = aimOf(job->spec, job->chains);
     log::info("job_known",
               {{"job", job->spec.id.value()},
                {"queue", job->spec.queue.name},
@@ -209,7 +210,7 @@
                {"gang", !job->spec.steps.empty() && job->spec.steps[0].gang},
                {"accelerators",
                 job->spec.steps.empty() ? 0 : job->spec.steps[0].each.accelerators.value()},
-               {"objective", objective}});
+               {"objective", job->aim}});
     m_open.push_back(job.get());
     m_jobs.emplace(job->spec.id.value(), std::move(job));
 }
@@ -230,11 +231,11 @@
         std::erase(m_open, &job);
         return;
     }
-    addDueOccurrences(job, wallNow);
+    addDueOccurrences(job, now, wallNow);
     if (progress) {
         for (const auto &[key, tasks] : progress->steps) {
             while (job.occurrences.size() <= key.first && key.first < std::max(1U, job.spec.times))
-                addOccurrence(job, uint32_t(job.occurrences.size()));
+                addOccurrence(job, uint32_t(job.occurrences.size()), now);
             if (key.first >= job.occurrences.size()
                 || key.second >= job.occurrences[key.first].steps.size())
                 continue;
@@ -350,7 +351,7 @@
                {"state", jobStateName(state)},
                {"queue", job.spec.queue.name},
                {"age", now - job.arrived},
-               {"objective_left", job.objective - now}});
+               {"objective", job.aim}});
     markDirty(job);
     stopRuns(job);
     if (job.activeRuns == 0)
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -34,6 +34,7 @@
 
 constexpr Duration orderTimeout = milliseconds(700); // an answer normally takes a few ms
 constexpr Duration stopRepeat = milliseconds(500);   // until a stop is answered
+constexpr int64_t mostUrgentPriority = 0;            // of a queue; it may take room from others
 constexpr double workerClockError = 0.02;            // a worker's clock may be this much slow
 constexpr Duration stallLimit = milliseconds(1600);  // progress is shown in hundredths
 constexpr Duration shunTime = seconds(4);            // after failures in a row
@@ -203,9 +204,12 @@
     const Figures &figures() const { return m_figures; }
 
 private:
+    // What a job can still be worth if the candidate's step starts now.
+    enum class Prospect { InTime, Late, Hopeless };
     struct Candidate
     {
         int64_t rank = 0;
+        Prospect prospect = Prospect::InTime;
         Job *job = nullptr;
         Occurrence *occurrence = nullptr;
         uint32_t step = 0;
@@ -231,8 +235,8 @@
 
     // Section: jobs (dispatcher.cpp)
     Job *findJob(const JobId &id);
-    void addOccurrence(Job &job, uint32_t number);
-    void addDueOccurrences(Job &job, UnixMilliseconds wallNow);
+    void addOccurrence(Job &job, uint32_t number, TimePoint due);
+    void addDueOccurrences(Job &job, TimePoint now, UnixMilliseconds wallNow);
     Progress progressOf(const Job &job) const;
     void markDirty(Job &job);
     void finishJob(Job &job, JobState state, TimePoint now);
@@ -261,6 +265,8 @@
     void countRooms(TimePoint now);
     bool isSettled(TimePoint now);
     bool isReady(const Occurrence &occurrence, const Job &job, uint32_t step) const;
+    Prospect prospectOf(const Job &job, const Occurrence &occurrence, uint32_t step,
+                        TimePoint now) const;
     std::vector<Candidate> candidates(TimePoint now);
     void reportRooms(TimePoint now);
     void place(const Candidate &candidate, Orders &orders, TimePoint now);
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -20,6 +20,8 @@
 constexpr double fitWeight = 0.4;
 constexpr double disturbWeight = 1.5; // tasks that fill beside tasks that serve
 
+// Share of the estimated work that a job surely needs: estimates are rough.
+constexpr double surelyNeeded = 0.8;
 constexpr double mostReserved = 0.4;                 // share of a service's workers
 constexpr Duration stopEstimate = milliseconds(600); // of a run that is being stopped
 constexpr Duration roomReportInterval = seconds(1);
@@ -72,6 +74,15 @@
     return m_isSettledForGood;
 }
 
+Dispatcher::Prospect Dispatcher::prospectOf(const Job &job, const Occurrence &occurrence,
+                                            uint32_t step, TimePoint now) const
+{
+    if (now > occurrence.hopeless)
+        return Prospect::Hopeless;
+    const auto least = Duration(int64_t(double(job.chains[step].count()) * surelyNeeded));
+    return now + least > occurrence.objective ? Prospect::Late : Prospect::InTime;
+}
+
 std::vector<Dispatcher::Candidate> Dispatcher::candidates(TimePoint now)
 {
     std::vector<Candidate> found;
@@ -79,23 +90,34 @@
     for (Job *job : m_open) {
         if (isFinal(job->state) || (job->isRestored && !settled))
             continue;
-        // Urgent queues first; then the nearest objective; jobs beyond hope last in their queue.
-        const int64_t nearness =
-                std::chrono::duration_cast<milliseconds>(job->objective.time_since_epoch()).count();
+        // Jobs that can still be in time first, since a late one is worth little and one beyond
+        // hope nothing; then urgent queues; then the nearest objective. Late jobs of the most
+        // urgent queue are short, and stay before all others.
+        constexpr int64_t prospectUnit = int64_t(1) << 52;
         constexpr int64_t priorityUnit = int64_t(1) << 44;
-        constexpr int64_t hopelessUnit = int64_t(1) << 42;
-        const int64_t rank = job->spec.queue.priority * priorityUnit
-                + (now > job->hopeless ? hopelessUnit : 0) + nearness;
+        constexpr int64_t lateUnit = int64_t(1) << 42;
         for (Occurrence &occurrence : job->occurrences) {
             if (occurrence.isDone)
                 continue;
+            const int64_t nearness = std::chrono::duration_cast<milliseconds>(
+                                             occurrence.objective.time_since_epoch())
+                                             .count();
             for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                 const StepState &state = occurrence.steps[step];
                 // Tasks that last are few, and each moment without them is lost.
                 const bool isFirst = job->spec.steps[step].lasting;
-                if (state.waiting > 0 && now >= state.retryAt && isReady(occurrence, *job, step))
-                    found.push_back(
-                            {isFirst ? nearness - hopelessUnit : rank, job, &occurrence, step});
+                if (state.waiting == 0 || now < state.retryAt || !isReady(occurrence, *job, step))
+                    continue;
+                const Prospect prospect = prospectOf(*job, occurrence, step, now);
+                const bool isUrgent = job->spec.queue.priority == mostUrgentPriority;
+                const int64_t group = isUrgent && prospect == Prospect::Late
+                        ? 0
+                        : int64_t(prospect) * prospectUnit;
+                const int64_t lateness = prospect == Prospect::InTime ? 0 : lateUnit;
+                const int64_t rank = isFirst
+                        ? nearness - priorityUnit
+                        : group + job->spec.queue.priority * priorityUnit + lateness + nearness;
+                found.push_back({rank, prospect, job, &occurrence, step});
             }
         }
     }
@@ -117,7 +139,7 @@
     }
     for (Job *job : m_open) {
         if (!isFinal(job->state))
-            addDueOccurrences(*job, wallNow);
+            addDueOccurrences(*job, now, wallNow);
     }
     countRooms(now);
     for (const Candidate &candidate : candidates(now))
@@ -425,7 +447,7 @@
 {
     const StepState &state = candidate.occurrence->steps[candidate.step];
     const Step &step = candidate.job->spec.steps[candidate.step];
-    if (step.fill || now > candidate.job->hopeless
+    if (step.fill || candidate.prospect == Prospect::Hopeless
         || (step.gang && allowedPlaces(candidate) < step.count))
         return;
     const bool needsAdvice = candidate.job->spec.queue.advice.has_value();
--- a/src/jobs/preemption.cpp
+++ b/src/jobs/preemption.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr Duration leastRunBeforePreemption = milliseconds(400); // a run that just began is left
-constexpr int64_t mostUrgentPriority = 0;                        // of a queue; others wait for room
 constexpr size_t maxPreemptionsPerStep = 16;                     // in one pass
 constexpr size_t maxPreemptionsPerGang = 64;                     // in one pass
 // What a pause costs a run that is stopped and starts again: the stop, a new place, the restore.
@@ -60,8 +59,9 @@
     const Step &spec = stepSpec(*run.job, run.address);
     if (!spec.checkpoints || spec.lasting || spec.gang || spec.fill)
         return false;
-    return priority == mostUrgentPriority || now > run.job->hopeless
-            || now + remainingOf(run, spec, now) + preemptionDelay < run.job->objective;
+    const Occurrence &occurrence = run.job->occurrences[run.address.occurrence];
+    return priority == mostUrgentPriority || now > occurrence.hopeless
+            || now + remainingOf(run, spec, now) + preemptionDelay < occurrence.objective;
 }
 
 std::vector<Run *> Dispatcher::victimsOn(Worker &worker, int64_t priority, TimePoint now) const
@@ -111,7 +111,7 @@
                       {{"task", run->address.text()},
                        {"worker", worker.entry.id.value()},
                        {"for", candidate.job->spec.id.value()},
-                       {"objective_left", candidate.job->objective - now}});
+                       {"objective_left", candidate.occurrence->objective - now}});
         }
         m_figures.preempted += chosen.size();
         allowedStops -= chosen.size();
@@ -126,7 +126,7 @@
 {
     const StepState &state = candidate.occurrence->steps[candidate.step];
     const Step &step = candidate.job->spec.steps[candidate.step];
-    if (now > candidate.job->hopeless || !mayPreempt(candidate))
+    if (candidate.prospect != Prospect::InTime || !mayPreempt(candidate))
         return;
     if (step.gang) {
         preemptForGang(candidate, now);
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -88,6 +88,8 @@
     uint32_t number = 0;
     std::vector<StepState> steps = {};
     bool isDone = false;
+    TimePoint objective = {};
+    TimePoint hopeless = {}; // completing it after this earns nothing
 };
 
 struct Job
@@ -103,8 +105,8 @@
     uint32_t occurrencesDone = 0;
     uint32_t activeRuns = 0;
     TimePoint arrived = {};
-    TimePoint objective = {};
-    TimePoint hopeless = {}; // completing it after this earns nothing
+    Duration aim = {};                 // of each occurrence, from when it is due
+    std::vector<Duration> chains = {}; // of each step: the longest chain of work from its start
     TimePoint finishedAt = {};
 };
 
--- a/tests/jobs/dispatcher_test.cpp
+++ b/tests/jobs/dispatcher_test.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(restartedWorkerWaitsForAWriteToTheStore);
     CPPUNIT_TEST(lastingTaskUsesRoomThatIsKeptForUrgentOnes);
     CPPUNIT_TEST(reservedWorkerStaysOpenForEquallyUrgentWork);
+    CPPUNIT_TEST(jobThatWillBeLateLetsOthersBeInTime);
     CPPUNIT_TEST(drainingWorkerGetsNoStart);
     CPPUNIT_TEST(gangStartsAsAWhole);
     CPPUNIT_TEST(stepWithAdviceStartsOnlyWithTicket);
@@ -240,6 +241,19 @@
         CPPUNIT_ASSERT_EQUAL(std::string("small.0.0.0"), orders.starts[0].task);
     }
 
+    // Guards against a backlog in which every job is late: the nearest objective went first, also
+    // one that could not be met any more.
+    void jobThatWillBeLateLetsOthersBeInTime()
+    {
+        putWorker("a", 1000);
+        m_dispatcher.addJob(makeJob("late", 1, 1000), at(10)); // 500 ms of work, due 1 s later
+        m_dispatcher.addJob(makeJob("soon", 1, 1000), at(600));
+        report("a", 800);
+        const Orders orders = decide(810);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), orders.starts.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("soon.0.0.0"), orders.starts[0].task);
+    }
+
     void drainingWorkerGetsNoStart()
     {
         putWorker("a", 1000, true);
