--- a/bench/jobs/fleet.cpp
+++ b/bench/jobs/fleet.cpp
@@ -241,6 +241,7 @@
         }
         Orders orders;
         double time = 0;
+        m_dispatcher.confirmOwnership(now);
         measure(time, [&] { orders = m_dispatcher.decide(now, UnixMilliseconds(0)); });
         ++m_result.decisions;
         m_result.decideSeconds += time;
--- a/src/cell/owner.cpp
+++ b/src/cell/owner.cpp
@@ -26,7 +26,12 @@
                                if (ownerChanged)
                                    ownerChanged(owner);
                            },
-                   .confirmed = [this](TimePoint sentAt) { m_dispatcher.confirmOwnership(sentAt); },
+                   .confirmed =
+                           [this](TimePoint sentAt) {
+                               if (m_dispatcher.awaitsConfirmation())
+                                   scheduleDecision();
+                               m_dispatcher.confirmOwnership(sentAt);
+                           },
                    .answered =
                            [this](TimePoint at) {
                                if (storeAnswered)
@@ -321,7 +326,8 @@
 {
     const TimePoint now = BootClock::now();
     if (!m_isActive || m_ownership.isCommitting()
-        || (!m_dispatcher.hasUnstored() && !m_usedWorkersChanged && m_removals.empty()))
+        || (!m_dispatcher.hasUnstored() && !m_usedWorkersChanged && m_removals.empty()
+            && !m_dispatcher.awaitsConfirmation()))
         return;
     if (now - m_lastStore < commitGap) {
         after(m_storeTimer, commitGap - (now - m_lastStore), [this] { store(); });
@@ -345,7 +351,8 @@
         m_removals.pop_back();
     }
     m_lastStore = now;
-    if (writes.empty() && removals.empty()) { // the ends changed nothing that is stored
+    if (writes.empty() && removals.empty()
+        && !m_dispatcher.awaitsConfirmation()) { // the ends changed nothing that is stored
         onStored(batch);
         return;
     }
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -37,8 +37,11 @@
 constexpr Duration membersInterval = seconds(2); // between looks at the members' table, as owner
 constexpr Duration slowMembersInterval = seconds(10);      // as another member
 constexpr Duration firstMembersPause = milliseconds(1500); // instances of a new cell start together
-constexpr size_t maxRemovals = 15;                         // in one write, beside the other rows
-constexpr Duration expiryInterval = seconds(5);            // between removals of old jobs
+// Between looks at the feeds of jobs and workers that brought changes: members tell the owner of
+// jobs at once, and every worker's row changes with each of its heartbeats.
+constexpr Duration feedPause = milliseconds(100);
+constexpr size_t maxRemovals = 15;              // in one write, beside the other rows
+constexpr Duration expiryInterval = seconds(5); // between removals of old jobs
 constexpr Duration predecessorTimeout = milliseconds(500);
 constexpr Duration predecessorInterval = milliseconds(300); // between questions to the last owner
 constexpr double workerClockMargin = 1.03;                  // a worker's clock is up to 2% slow
--- a/src/cell/ownerload.cpp
+++ b/src/cell/ownerload.cpp
@@ -205,7 +205,8 @@
     for (size_t number = 0; number < jobParts; ++number)
         parts.push_back(jobPartName(number));
     m_jobsFollower = std::make_unique<TableFollower>(
-            m_context, m_store, FollowOptions{.table = jobsTable, .parts = parts},
+            m_context, m_store,
+            FollowOptions{.table = jobsTable, .parts = parts, .pause = feedPause},
             FollowEvents{[this](std::vector<Row> rows) { onJobsSnapshot(std::move(rows)); },
                          [this](const std::vector<Row> &rows) { onJobsChanged(rows); }});
     m_jobsFollower->start();
@@ -257,7 +258,7 @@
                {"time", now - m_termBegan}});
     m_recoveryTime.observe(now - m_termBegan);
     m_workersFollower = std::make_unique<TableFollower>(
-            m_context, m_store, FollowOptions{.table = m_reader.workersTable},
+            m_context, m_store, FollowOptions{.table = m_reader.workersTable, .pause = feedPause},
             FollowEvents{[this](const std::vector<Row> &found) { onWorkers(found, true); },
                          [this](const std::vector<Row> &changed) { onWorkers(changed, false); }});
     m_workersFollower->start();
--- a/src/cell/ownership.cpp
+++ b/src/cell/ownership.cpp
@@ -101,7 +101,10 @@
                             onLease(row);
                         m_leaseSeen = std::max(m_leaseSeen, page->revision);
                         considerTakeover();
-                        follow();
+                        if (m_isOwner || isLargeEnough())
+                            follow();
+                        else
+                            after(m_followTimer, smallFollowPause, [this] { follow(); });
                     });
 }
 
--- a/src/cell/ownership.h
+++ b/src/cell/ownership.h
@@ -47,6 +47,9 @@
 constexpr Duration probeTimeout = milliseconds(250);
 constexpr Duration followWait = milliseconds(400);     // of one look at the renewals
 constexpr Duration followTimeout = milliseconds(1200); // beyond its wait
+// Between the looks of a member that leaves the takeover to larger ones. With a look it stays below
+// the time after which the store is taken for silent.
+constexpr Duration smallFollowPause = milliseconds(300);
 constexpr Duration storeCallTimeout = milliseconds(1500);
 constexpr Duration storeRetryPause = milliseconds(150);
 // An owner that has not reached the store for this long starts and renews nothing. Longer than
--- a/src/cell/tablefollower.cpp
+++ b/src/cell/tablefollower.cpp
@@ -134,13 +134,27 @@
                             log::info("store_regained", {{"table", m_options.table}});
                         m_lastAnswer = BootClock::now();
                         m_seen = std::max(m_seen, page->revision);
-                        if (!page->rows.empty())
+                        const bool hasChanges = !page->rows.empty();
+                        if (hasChanges)
                             m_events.changed(std::move(page->rows));
-                        if (*alive)
+                        if (!*alive)
+                            return;
+                        if (hasChanges && m_options.pause > Duration::zero())
+                            followLater();
+                        else
                             follow();
                     });
 }
 
+void TableFollower::followLater()
+{
+    m_timer.expires_after(m_options.pause);
+    m_timer.async_wait([this, alive = m_alive](boost::system::error_code error) {
+        if (!error && *alive)
+            follow();
+    });
+}
+
 void TableFollower::onFailure(const absl::Status &status)
 {
     if (failureOf(status) == Failure::HistoryLost) {
--- a/src/cell/tablefollower.h
+++ b/src/cell/tablefollower.h
@@ -19,6 +19,9 @@
     std::string table;
     std::vector<std::string> parts = {""}; // read for the snapshot
     Duration wait = milliseconds(1000);    // of one look for changes
+    // After a look that brought changes. A table that changes all the time would otherwise cost a
+    // call for each change.
+    Duration pause = {};
 };
 
 struct FollowEvents
@@ -49,6 +52,7 @@
 private:
     void readAll();
     void follow();
+    void followLater();
     void onFailure(const absl::Status &status);
 
     TableStore &m_store;
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -50,6 +50,7 @@
     m_predecessorEnds = predecessorEnds;
     m_isSettledForGood = false;
     m_ownerAt = {};
+    m_lastKnownAt = {};
     m_rooms.clear();
     m_workers.clear();
     m_jobs.clear();
@@ -200,6 +201,8 @@
         spec.queue = queue->second;
     job->spec = std::move(spec);
     job->arrived = now;
+    job->knownAt = now;
+    m_lastKnownAt = std::max(m_lastKnownAt, now);
     job->chains = chainsOf(job->spec.steps);
     job->aim = aimOf(job->spec, job->chains);
     log::info("job_known",
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -11,6 +11,8 @@
 //  - an order without an answer is stopped, because it may be carried out later;
 //  - a job taken over from an earlier owner starts nothing until every worker has reported or its
 //    lease has ended;
+//  - a job heard of after the takeover starts once a write sent later has taken effect: a newer
+//    owner, which reads the jobs after its takeover, then knows that this one may have started it;
 //  - a worker that restarts forgets whom it obeyed: it gets starts again once a write to the store
 //    has shown that this owner was not replaced before.
 
@@ -186,6 +188,8 @@
     void committed(const Batch &batch);
     // A write of this owner, sent at `sentAt`, took effect: it was the owner then.
     void confirmOwnership(TimePoint sentAt) { m_ownerAt = std::max(m_ownerAt, sentAt); }
+    // Jobs wait for such a write.
+    bool awaitsConfirmation() const { return m_lastKnownAt > m_ownerAt; }
 
     // Section: figures
 
@@ -317,6 +321,7 @@
     std::unordered_map<std::string, ServiceRoom> m_rooms;
     std::vector<Worker *> m_reserved;                       // for large tasks, during one pass
     std::unordered_map<std::string, double> m_allowedShare; // by queue, smoothed
+    TimePoint m_lastKnownAt = {};                           // when the newest job became known
     TimePoint m_ownerAt = {}; // this owner's last write that took effect was sent then
     TimePoint m_roomsReported = {};
     Figures m_figures;
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -176,6 +176,11 @@
     const auto room = m_rooms.find(candidate.job->spec.queue.service);
     if (room == m_rooms.end() || room->second.unplaced > maxUnplacedSteps)
         return;
+    if (!candidate.job->isRestored && candidate.job->knownAt > m_ownerAt) {
+        if (candidate.job->spec.queue.advice)
+            askAdvice(candidate, orders, now);
+        return;
+    }
     const Placed placed = candidate.job->spec.steps[candidate.step].gang
             ? placeGang(candidate, orders, now)
             : placeTasks(candidate, orders, now);
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -105,6 +105,7 @@
     uint32_t occurrencesDone = 0;
     uint32_t activeRuns = 0;
     TimePoint arrived = {};
+    TimePoint knownAt = {};            // to this owner
     Duration aim = {};                 // of each occurrence, from when it is due
     std::vector<Duration> chains = {}; // of each step: the longest chain of work from its start
     TimePoint finishedAt = {};
--- a/tests/harness/process.cpp
+++ b/tests/harness/process.cpp
@@ -66,6 +66,8 @@
     posix_spawn_file_actions_addopen(&actions, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
     redirect(actions, STDOUT_FILENO, options.folder + "/" + options.name + ".out");
     redirect(actions, STDERR_FILENO, options.folder + "/" + options.name + ".log");
+    // An inherited listening socket would keep its port in use after this process has closed it.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     posix_spawnattr_t attributes;
     posix_spawnattr_init(&attributes);
     setCleanSignals(attributes);
