--- a/tests/usersplatform/deployment.cpp
+++ b/tests/usersplatform/deployment.cpp
@@ -48,13 +48,7 @@
     for (MemberProcess &member : m_members)
         member.process.reset();
     if (m_thread.joinable()) {
-        onStandins([this] {
-            for (MemberProcess &member : m_members)
-                member.storeLink.reset();
-            m_workerLinks.clear();
-            m_workers.clear();
-            m_store.reset();
-        });
+        // Connections of the proxies refer to their link: no handler may run once links are gone.
         m_work.reset();
         m_context.stop();
         m_thread.join();
