Place tasks by looking only at the workers allowed for their step

Cause: each task of each waiting step visited all workers of its service, and a step without a ticket repeated that in every pass, so that a pass of an owner with 350 workers took most of its processor share and decisions came seldom.

--- a/src/jobs/advice.cpp
+++ b/src/jobs/advice.cpp
@@ -33,17 +33,9 @@
 int64_t Dispatcher::capacityOfAllowedWorkers(const Candidate &candidate) const
 {
     const Step &step = candidate.job->spec.steps[candidate.step];
-    const StepState &state = candidate.occurrence->steps[candidate.step];
     int64_t places = 0;
-    const auto pool = m_servicePools.find(candidate.job->spec.queue.service);
-    if (pool == m_servicePools.end())
-        return 0;
-    for (const Worker *worker : pool->second.workers) {
-        if (isUsable(*worker, candidate)
-            && (!candidate.job->spec.queue.advice
-                || state.advice.allowed.contains(worker->entry.id.value())))
-            places += tasksThatFit(worker->entry.capacity, step);
-    }
+    for (const Worker *worker : allowedWorkers(candidate))
+        places += tasksThatFit(worker->entry.capacity, step);
     return places;
 }
 
@@ -99,8 +91,7 @@
         placesNow += fits;
         if (fits == 0 && !considersAll && !isAllowed)
             continue;
-        const double value = score(*worker, candidate, state.tasks[0]) + (isAllowed ? 5 : 0)
-                - (fits > 0 ? 0 : 10)
+        const double value = score(*worker, candidate) + (isAllowed ? 5 : 0) - (fits > 0 ? 0 : 10)
                 + (step.gang ? spreadWeight * spreadOf(*candidate.job, *worker) : 0);
         choices.push_back({worker, value, isAllowed, fits});
     }
@@ -135,8 +126,11 @@
         return;
     AdviceQuery query;
     query.workers = chooseWorkersToQuery(candidate, now);
-    if (query.workers.empty())
+    if (query.workers.empty()) {
+        // Capacity is expected to take some time to become free.
+        state.advice.retryAt = now + adviceRetryDelay;
         return;
+    }
     const AdvicePolicy &policy = *candidate.job->spec.queue.advice;
     query.step = {candidate.job->spec.id, candidate.occurrence->number, candidate.step, 0};
     query.priority = candidate.job->spec.steps[candidate.step].longRunning
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -231,6 +231,11 @@
         Reserved, // the remaining capacity is reserved for urgent queues
     };
     // The workers of one service during one placement pass.
+    struct Place
+    {
+        Worker *worker = nullptr;
+        double score = 0;
+    };
     struct ServicePool
     {
         std::vector<Worker *> workers = {}; // that may get starts now
@@ -283,11 +288,13 @@
     void placeStep(const Candidate &candidate, Orders &orders, TimePoint now);
     PlacementResult placeTasks(const Candidate &candidate, Orders &orders, TimePoint now);
     PlacementResult placeGang(const Candidate &candidate, Orders &orders, TimePoint now);
-    Worker *chooseWorker(const Candidate &candidate, const Task &task, TimePoint now);
+    std::vector<Worker *> allowedWorkers(const Candidate &candidate) const;
+    std::vector<Worker *> startableWorkers(const Candidate &candidate, TimePoint now) const;
     bool mayStart(const Worker &worker, TimePoint now) const;
     bool isUsable(const Worker &worker, const Candidate &candidate) const;
     bool hasFreeCapacity(const Worker &worker, const Step &step) const;
-    double score(const Worker &worker, const Candidate &candidate, const Task &task) const;
+    double score(const Worker &worker, const Candidate &candidate) const;
+    static Place *choosePlace(std::vector<Place> &places, const Task &task);
     const Ticket *findTicket(const StepState &step, const Worker &worker, TimePoint now) const;
     void start(const Candidate &candidate, uint32_t index, Worker &worker, int64_t attempt,
                Orders &orders, TimePoint now);
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -34,15 +34,17 @@
 {
     m_servicePools.clear();
     for (const auto &[id, worker] : m_workers) {
+        worker->isInPool = false;
         if (!worker->hasReported || !worker->isListed)
             continue;
         ServicePool &pool = m_servicePools[worker->entry.service];
         const Resources free = freeCapacity(*worker);
+        worker->isInPool = mayStart(*worker, now);
         ++pool.reportedWorkers;
         pool.capacity = pool.capacity + worker->entry.capacity;
         pool.free = pool.free + free;
         pool.topPriority = INT64_MAX;
-        if (!mayStart(*worker, now))
+        if (!worker->isInPool)
             continue;
         pool.workers.push_back(worker.get());
         pool.largestFree = {std::max(pool.largestFree.cores, free.cores),
@@ -244,14 +246,12 @@
     return &ticket->second;
 }
 
-double Dispatcher::score(const Worker &worker, const Candidate &candidate, const Task &task) const
+double Dispatcher::score(const Worker &worker, const Candidate &candidate) const
 {
     const Step &step = candidate.job->spec.steps[candidate.step];
     double score = 0;
     if (!step.rack.empty() && hasLabel(worker, step.rack))
         score += rackWeight;
-    if (task.lastFailedOn == worker.entry.id)
-        score -= failedWeight;
     score -= slownessWeight * worker.slowness;
     const Resources free = freeCapacity(worker);
     const auto capacity = double(std::max<int64_t>(1, worker.entry.capacity.cores.value()));
@@ -271,25 +271,59 @@
     return score;
 }
 
-Worker *Dispatcher::chooseWorker(const Candidate &candidate, const Task &task, TimePoint now)
+// Workers of the service that may get starts and may run the step: with advice, those that the
+// service has allowed, whether or not their tickets are still valid.
+std::vector<Worker *> Dispatcher::allowedWorkers(const Candidate &candidate) const
+{
+    std::vector<Worker *> found;
+    const std::string &service = candidate.job->spec.queue.service;
+    if (candidate.job->spec.queue.advice) {
+        const StepState &state = candidate.occurrence->steps[candidate.step];
+        for (const auto &[id, ticket] : state.advice.allowed) {
+            const auto worker = m_workers.find(id);
+            if (worker != m_workers.end() && worker->second->isInPool
+                && worker->second->entry.service == service && isUsable(*worker->second, candidate))
+                found.push_back(worker->second.get());
+        }
+        return found;
+    }
+    const auto pool = m_servicePools.find(service);
+    if (pool == m_servicePools.end())
+        return found;
+    for (Worker *worker : pool->second.workers) {
+        if (isUsable(*worker, candidate))
+            found.push_back(worker);
+    }
+    return found;
+}
+
+// Those on which at least one task of the step can start now.
+std::vector<Worker *> Dispatcher::startableWorkers(const Candidate &candidate, TimePoint now) const
 {
     const StepState &state = candidate.occurrence->steps[candidate.step];
     const Step &step = candidate.job->spec.steps[candidate.step];
+    const auto pool = m_servicePools.find(candidate.job->spec.queue.service);
+    if (pool == m_servicePools.end() || !reservedResources(step).fitsIn(pool->second.largestFree))
+        return {};
+    std::vector<Worker *> workers = allowedWorkers(candidate);
     const bool needsTicket = candidate.job->spec.queue.advice.has_value();
-    Worker *best = nullptr;
+    std::erase_if(workers, [&](const Worker *worker) {
+        return !hasFreeCapacity(*worker, step) || (needsTicket && !findTicket(state, *worker, now));
+    });
+    return workers;
+}
+
+// The best place for the task; one where it has failed only if there is no other.
+Dispatcher::Place *Dispatcher::choosePlace(std::vector<Place> &places, const Task &task)
+{
+    Place *best = nullptr;
     double bestScore = 0;
-    const ServicePool &pool = m_servicePools.at(candidate.job->spec.queue.service);
-    if (!reservedResources(step).fitsIn(pool.largestFree))
-        return nullptr;
-    for (Worker *worker : pool.workers) {
-        if (!hasFreeCapacity(*worker, step) || !isUsable(*worker, candidate))
-            continue;
-        if (needsTicket && !findTicket(state, *worker, now))
-            continue;
-        const double value = score(*worker, candidate, task);
-        if (!best || value > bestScore) {
-            best = worker;
-            bestScore = value;
+    for (Place &place : places) {
+        const bool hasFailed = task.lastFailedOn == place.worker->entry.id;
+        const double score = place.score - (hasFailed ? failedWeight : 0);
+        if (!best || score > bestScore) {
+            best = &place;
+            bestScore = score;
         }
     }
     return best;
@@ -359,6 +393,9 @@
     StepState &state = candidate.occurrence->steps[candidate.step];
     const Step &step = candidate.job->spec.steps[candidate.step];
     const ServicePool &pool = m_servicePools[candidate.job->spec.queue.service];
+    std::vector<Place> places;
+    for (Worker *worker : startableWorkers(candidate, now))
+        places.push_back({worker, score(*worker, candidate)});
     for (uint32_t index = 0; index < state.tasks.size(); ++index) {
         Task &task = state.tasks[index];
         if (task.phase != Task::Phase::Waiting)
@@ -368,12 +405,19 @@
             && double(pool.free.cores.value() - step.each.cores.value())
                     < m_settings.urgentReserveShare * double(pool.capacity.cores.value()))
             return PlacementResult::Reserved;
-        Worker *const worker = chooseWorker(candidate, task, now);
-        if (!worker) {
+        Place *const place = choosePlace(places, task);
+        if (!place) {
             reserveWorkers(candidate, now);
             return PlacementResult::NoWorker;
         }
-        start(candidate, index, *worker, nextAttempt(task.attempt, m_epoch), orders, now);
+        Worker &worker = *place->worker;
+        start(candidate, index, worker, nextAttempt(task.attempt, m_epoch), orders, now);
+        if (hasFreeCapacity(worker, step) && isUsable(worker, candidate)) {
+            place->score = score(worker, candidate);
+        } else {
+            *place = places.back();
+            places.pop_back();
+        }
     }
     return PlacementResult::All;
 }
@@ -385,27 +429,14 @@
     const Step &step = candidate.job->spec.steps[candidate.step];
     if (state.waiting < state.tasks.size())
         return PlacementResult::All; // members of the last run have not ended
-    const bool needsTicket = candidate.job->spec.queue.advice.has_value();
-    struct Place
-    {
-        Worker *worker;
-        int64_t fits;
-        double score;
-    };
     std::vector<Place> places;
-    for (Worker *worker : m_servicePools.at(candidate.job->spec.queue.service).workers) {
-        if (!hasFreeCapacity(*worker, step) || !isUsable(*worker, candidate))
-            continue;
-        if (needsTicket && !findTicket(state, *worker, now))
-            continue;
-        places.push_back({worker, tasksThatFit(freeCapacity(*worker), step),
-                          score(*worker, candidate, state.tasks[0])});
-    }
+    for (Worker *worker : startableWorkers(candidate, now))
+        places.push_back({worker, score(*worker, candidate)});
     std::sort(places.begin(), places.end(),
               [](const Place &a, const Place &b) { return a.score > b.score; });
     int64_t placeable = 0;
     for (const Place &place : places)
-        placeable += std::min<int64_t>(place.fits, step.count);
+        placeable += tasksThatFit(freeCapacity(*place.worker), step);
     if (placeable < step.count) {
         reserveWorkers(candidate, now);
         return PlacementResult::NoWorker;
@@ -422,7 +453,8 @@
     const int64_t attempt = nextAttempt(last, m_epoch);
     uint32_t index = 0;
     for (const Place &place : places) {
-        for (int64_t n = 0; n < place.fits && index < step.count; ++n)
+        const int64_t fits = tasksThatFit(freeCapacity(*place.worker), step);
+        for (int64_t n = 0; n < fits && index < step.count; ++n)
             start(candidate, index++, *place.worker, attempt, orders, now);
     }
     return PlacementResult::All;
@@ -466,16 +498,14 @@
     if (step.backfill || candidate.outlook == DeadlineOutlook::NoValue
         || (step.gang && capacityOfAllowedWorkers(candidate) < step.count))
         return;
-    const bool needsAdvice = candidate.job->spec.queue.advice.has_value();
     const ServicePool &pool = m_servicePools.at(candidate.job->spec.queue.service);
     const size_t most =
             std::max<size_t>(1, size_t(double(pool.reportedWorkers) * maxReservedShare));
     if (m_reserved.size() >= most)
         return;
     std::vector<std::pair<TimePoint, Worker *>> places;
-    for (Worker *worker : pool.workers) {
-        if (!isLarge(step, *worker) || !isUsable(*worker, candidate)
-            || (needsAdvice && !state.advice.allowed.contains(worker->entry.id.value())))
+    for (Worker *worker : allowedWorkers(candidate)) {
+        if (!isLarge(step, *worker))
             continue;
         const TimePoint when = expectedFreeAt(*worker, step, now);
         if (when != TimePoint::max())
--- a/src/jobs/preemption.cpp
+++ b/src/jobs/preemption.cpp
@@ -136,16 +136,10 @@
         preemptForGang(candidate, now);
         return;
     }
-    const bool needsAdvice = candidate.job->spec.queue.advice.has_value();
-    std::vector<Worker *> workers;
+    const std::vector<Worker *> workers = allowedWorkers(candidate);
     int64_t places = 0;
-    for (Worker *worker : m_servicePools.at(candidate.job->spec.queue.service).workers) {
-        if (!isUsable(*worker, candidate)
-            || (needsAdvice && !state.advice.allowed.contains(worker->entry.id.value())))
-            continue;
-        workers.push_back(worker);
+    for (const Worker *worker : workers)
         places += tasksThatFit(freeCapacityAfterStops(*worker), step);
-    }
     size_t allowedStops = maxPreemptionsPerStep;
     for (Worker *worker : workers) {
         if (places >= state.waiting || allowedStops == 0)
@@ -170,8 +164,8 @@
     std::vector<Place> places;
     int64_t coming = 0;
     int64_t reclaim = 0;
-    for (Worker *worker : m_servicePools.at(candidate.job->spec.queue.service).workers) {
-        if (!step.each.fitsIn(worker->entry.capacity) || !isUsable(*worker, candidate))
+    for (Worker *worker : allowedWorkers(candidate)) {
+        if (!step.each.fitsIn(worker->entry.capacity))
             continue;
         const Ticket *const ticket =
                 needsTicket ? findTicket(state, *worker, now + maxStopTime) : nullptr;
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -136,6 +136,7 @@
     uint32_t servingRuns = 0;                       // runs with a latency target
     uint32_t consecutiveFailures = 0;
     TimePoint excludedUntil = {};     // gets no starts before
+    bool isInPool = false;            // may get starts during this pass
     TimePoint drainDeadline = {};     // zero: not known
     double slowness = 1;              // run times relative to estimates, smoothed
     const Job *reservedFor = nullptr; // for a large task, during one pass
