Bound depth, size and numbers of everything that is decoded

Cause: RapidJSON's recursive parser overflowed the stack on a body with 150,000 brackets; numbers outside the range of their type were converted; one job could ask for occurrences without bound, and its stored progress could outgrow a row of the store, which then refuses every write of each owner in turn. Change: one parser without recursion, with a depth limit and UTF-8 validation, for all decoders; checkJob() bounds amounts, times, dependencies and occurrences of submitted and stored jobs; stored progress drops checkpoints first when it is too large; the HTTP server's body limit can change while it runs.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -36,6 +36,7 @@
         , m_shared(std::make_shared<SessionContext>())
     {
         m_shared->options = options;
+        m_shared->maxBodyBytes = options.maxBodyBytes;
         m_shared->handler = std::move(handler);
     }
 
@@ -45,6 +46,7 @@
     void shutDown();
 
     uint16_t port() const { return m_port; }
+    void setMaxBodyBytes(size_t bytes) { m_shared->maxBodyBytes = bytes; }
     size_t connections() const
     {
         const std::lock_guard lock(m_mutex);
@@ -224,6 +226,11 @@
     return m_implementation->connections();
 }
 
+void Server::setMaxBodyBytes(size_t bytes)
+{
+    m_implementation->setMaxBodyBytes(bytes);
+}
+
 void Server::stopAccepting()
 {
     m_implementation->stopAccepting();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -49,6 +49,9 @@
     uint16_t port() const;
     size_t connections() const; // open now
 
+    // Bodies of requests that begin to arrive after the call may be so large. Any thread.
+    void setMaxBodyBytes(size_t bytes);
+
     // Accepts no more connections; each open one closes after the answers it still owes.
     void stopAccepting();
 
--- a/src/http/session.cpp
+++ b/src/http/session.cpp
@@ -130,7 +130,7 @@
     m_phase = Phase::Reading;
     m_parser.emplace();
     m_parser->header_limit(uint32_t(m_context->options.maxHeaderBytes));
-    m_parser->body_limit(m_context->options.maxBodyBytes);
+    m_parser->body_limit(m_context->maxBodyBytes.load());
     m_stream.expires_after(m_context->options.headerTimeout);
     beast::http::async_read_header(
             m_stream, m_buffer, *m_parser,
@@ -224,7 +224,7 @@
     const Failure failure = status == 413 ? Failure::BodyTooLarge : Failure::MalformedBody;
     ErrorDetail detail;
     if (status == 413)
-        detail.limit = std::to_string(m_context->options.maxBodyBytes) + " bytes";
+        detail.limit = std::to_string(m_context->maxBodyBytes) + " bytes";
     Response response{.status = status,
                       .body = writeJson(errorToJson(makeError(failure, message, detail)))};
     response.headers.set("Content-Type", "application/json");
--- a/src/http/session.h
+++ b/src/http/session.h
@@ -29,6 +29,7 @@
     ServerOptions options;
     Handler handler;
     std::function<void(const std::shared_ptr<Session> &)> closed; // called once per session
+    std::atomic<size_t> maxBodyBytes = 0;
     std::atomic<bool> isStopping = false; // answers from now on end their connection
     std::atomic<bool> isDown = false;     // the server is gone: no handler may be called
 };
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "jobs/dispatcher.h"
 
+#include "jobs/limits.h"
 #include "node/log.h"
 
 #include <algorithm>
@@ -28,8 +29,9 @@
     const Duration longest = criticalPaths.empty()
             ? Duration::zero()
             : *std::max_element(criticalPaths.begin(), criticalPaths.end());
-    const auto chain = double(longest.count());
-    return Duration(int64_t(chain * spec.queue.maxSlowdown)) + spec.queue.latencyAllowance;
+    const double chain = std::min(double(longest.count()) * spec.queue.maxSlowdown,
+                                  double(maxJobDuration.count()));
+    return Duration(int64_t(chain)) + spec.queue.latencyAllowance;
 }
 
 // A late job earns part of its value until this many times its target duration.
--- /dev/null
+++ b/src/jobs/limits.cpp
@@ -0,0 +1,74 @@
+#include "jobs/limits.h"
+
+#include "base/error.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace cwl::jobs {
+
+namespace {
+
+constexpr int64_t maxFirstAtMs = 1'000'000'000'000'000; // Unix milliseconds
+
+// Upper bound of the stored progress of one step while no task has failed or saved a checkpoint,
+// beside one byte a task.
+constexpr uint64_t progressBytesPerStep = 90;
+
+bool isAmount(int64_t value)
+{
+    return value >= 0 && value <= maxTaskAmount;
+}
+
+absl::Status checkStep(const Step &step, size_t position)
+{
+    if (step.count < 1)
+        return makeError(Failure::MalformedBody, "a step of the job has no tasks");
+    if (!isPossible(step.each))
+        return makeError(Failure::MalformedBody, "a step of the job asks for an invalid amount");
+    if (step.estimate < Duration::zero() || step.estimate > maxJobDuration)
+        return makeError(Failure::MalformedBody, "a step of the job has no valid estimate");
+    const bool isOrdered = std::all_of(step.after.begin(), step.after.end(),
+                                       [&](uint32_t before) { return before < position; });
+    if (!isOrdered)
+        return makeError(Failure::MalformedBody,
+                         "a step of the job follows one that is not before it");
+    return absl::OkStatus();
+}
+
+} // namespace
+
+bool isPossible(const Resources &resources)
+{
+    return isAmount(resources.cores.value()) && isAmount(resources.memory.value())
+            && isAmount(resources.accelerators.value());
+}
+
+absl::Status checkJob(const JobSpec &spec)
+{
+    if (spec.steps.empty())
+        return makeError(Failure::MalformedBody, "the job has no steps");
+    if (spec.interval < Duration::zero() || spec.interval > maxInterval || spec.firstAt.value() < 0
+        || spec.firstAt.value() > maxFirstAtMs)
+        return makeError(Failure::MalformedBody, "the job has no valid times");
+    uint64_t tasks = 0;
+    for (size_t position = 0; position < spec.steps.size(); ++position) {
+        const absl::Status status = checkStep(spec.steps[position], position);
+        if (!status.ok())
+            return status;
+        tasks += spec.steps[position].count;
+    }
+    if (tasks > maxJobTasks)
+        return makeError(Failure::JobTooLarge, absl::StrCat("the job has ", tasks, " tasks"),
+                         {.limit = absl::StrCat(maxJobTasks, " tasks")});
+    const uint64_t occurrences = std::max(1U, spec.times);
+    if (occurrences * (tasks + progressBytesPerStep * spec.steps.size()) > maxProgressBytes)
+        return makeError(
+                Failure::JobTooLarge,
+                absl::StrCat("the job has ", occurrences, " occurrences of ", tasks, " tasks"),
+                {.limit = absl::StrCat(maxProgressBytes, " bytes of stored progress")});
+    return absl::OkStatus();
+}
+
+} // namespace cwl::jobs
--- a/src/jobs/progress.cpp
+++ b/src/jobs/progress.cpp
@@ -1,6 +1,9 @@
 #include "jobs/progress.h"
 
+#include "base/boundedjson.h"
 #include "base/error.h"
+#include "jobs/limits.h"
+#include "node/log.h"
 
 #include <rapidjson/document.h>
 #include <rapidjson/stringbuffer.h>
@@ -13,8 +16,6 @@
 using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
 using rapidjson::Value;
 
-constexpr int64_t maxStoredTasks = 1000000; // of one step; more is treated as a damaged row
-
 void put(Writer &writer, const char *key, const std::string &text)
 {
     if (text.empty())
@@ -53,6 +54,13 @@
     return member != object.MemberEnd() && member->value.IsInt64() ? member->value.GetInt64() : 0;
 }
 
+// A number outside the range of the type reads as 0.
+uint32_t smallNumber(const Value &object, const char *key)
+{
+    const int64_t value = number(object, key);
+    return value >= 0 && value <= UINT32_MAX ? uint32_t(value) : 0;
+}
+
 bool flag(const Value &object, const char *key)
 {
     const auto member = object.FindMember(key);
@@ -64,9 +72,11 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
 }
 
-Duration duration(const Value &object, const char *key)
+Duration duration(const Value &object, const char *key, Duration most)
 {
-    return std::chrono::microseconds(number(object, key));
+    using std::chrono::microseconds;
+    const auto limit = std::chrono::duration_cast<microseconds>(most);
+    return microseconds(std::clamp<int64_t>(number(object, key), 0, limit.count()));
 }
 
 void writeQueue(Writer &writer, const Queue &queue)
@@ -93,11 +103,13 @@
     queue.service = text(value, "service");
     queue.priority = number(value, "priority");
     queue.maxAttempts = std::max<int64_t>(1, number(value, "maxAttempts"));
-    queue.maxSlowdown = double(number(value, "stretchPermille")) / 1000;
-    queue.latencyAllowance = duration(value, "allowanceUs");
+    queue.maxSlowdown = std::clamp<double>(double(number(value, "stretchPermille")) / 1000, 0,
+                                           maxSlowdownLimit);
+    queue.latencyAllowance = duration(value, "allowanceUs", maxJobDuration);
     if (number(value, "validityUs") > 0)
-        queue.advice = AdvicePolicy{duration(value, "decisionUs"), duration(value, "perWorkerUs"),
-                                    duration(value, "validityUs")};
+        queue.advice = AdvicePolicy{duration(value, "decisionUs", maxJobDuration),
+                                    duration(value, "perWorkerUs", maxJobDuration),
+                                    duration(value, "validityUs", maxJobDuration)};
     return queue;
 }
 
@@ -134,10 +146,10 @@
 Step readStep(const Value &value)
 {
     Step step;
-    step.count = uint32_t(number(value, "count"));
+    step.count = smallNumber(value, "count");
     step.each = {Millicores(number(value, "cores")), Mebibytes(number(value, "memory")),
                  Accelerators(number(value, "accelerators"))};
-    step.estimate = duration(value, "estimateUs");
+    step.estimate = duration(value, "estimateUs", maxJobDuration);
     const auto after = value.FindMember("after");
     if (after != value.MemberEnd() && after->value.IsArray()) {
         for (const Value &before : after->value.GetArray()) {
@@ -148,8 +160,8 @@
     step.label = text(value, "label");
     step.rack = text(value, "rack");
     step.image = text(value, "image");
-    step.maxPerWorker = uint32_t(number(value, "maxPerWorker"));
-    step.maxUnavailable = uint32_t(number(value, "maxUnavailable"));
+    step.maxPerWorker = smallNumber(value, "maxPerWorker");
+    step.maxUnavailable = smallNumber(value, "maxUnavailable");
     step.tailTargetMs = number(value, "tailTargetMs");
     step.checkpoints = flag(value, "checkpoints");
     step.gang = flag(value, "gang");
@@ -198,8 +210,7 @@
 absl::StatusOr<JobSpec> decodeJob(const std::string &content)
 {
     rapidjson::Document document;
-    document.Parse(content.data(), content.size());
-    if (document.HasParseError() || !document.IsObject())
+    if (!parseJsonObject(document, content))
         return malformed("job");
     const Value &root = document;
     const auto queue = root.FindMember("queue");
@@ -215,14 +226,22 @@
             return malformed("job");
         spec.steps.push_back(readStep(step));
     }
-    spec.times = uint32_t(number(root, "times"));
+    spec.times = smallNumber(root, "times");
     spec.firstAt = UnixMilliseconds(number(root, "firstAt"));
-    spec.interval = duration(root, "intervalUs");
+    spec.interval = duration(root, "intervalUs", maxInterval);
     spec.acceptedAt = UnixMilliseconds(number(root, "acceptedAt"));
+    const absl::Status status = checkJob(spec);
+    if (!status.ok())
+        return status;
     return spec;
 }
 
-std::string encodeProgress(const Progress &progress)
+namespace {
+
+// What a row of progress holds beside the tasks that are done.
+enum class ProgressDetail { All, NoCheckpoints, DoneOnly };
+
+std::string encodeWith(const Progress &progress, ProgressDetail detail)
 {
     rapidjson::StringBuffer buffer;
     Writer writer(buffer);
@@ -245,7 +264,9 @@
         writer.StartArray();
         for (size_t index = 0; index < tasks.size(); ++index) {
             const TaskProgress &task = tasks[index];
-            if (task.isDone || task.isEmpty())
+            const bool hasDetail = detail == ProgressDetail::All
+                    || (detail == ProgressDetail::NoCheckpoints && !task.failedAttempts.empty());
+            if (task.isDone || task.isEmpty() || !hasDetail)
                 continue;
             writer.StartObject();
             put(writer, "index", int64_t(index));
@@ -254,7 +275,8 @@
             for (const int64_t attempt : task.failedAttempts)
                 writer.Int64(attempt);
             writer.EndArray();
-            put(writer, "checkpoint", task.checkpoint);
+            if (detail == ProgressDetail::All)
+                put(writer, "checkpoint", task.checkpoint);
             writer.EndObject();
         }
         writer.EndArray();
@@ -265,6 +287,25 @@
     return {buffer.GetString(), buffer.GetSize()};
 }
 
+} // namespace
+
+std::string encodeProgress(const Progress &progress)
+{
+    // The store refuses a transaction with a row that is too large, so the owner could store
+    // nothing at all. Checkpoints cost only repeated work if they are left out.
+    std::string text = encodeWith(progress, ProgressDetail::All);
+    for (const ProgressDetail detail : {ProgressDetail::NoCheckpoints, ProgressDetail::DoneOnly}) {
+        if (text.size() <= maxProgressBytes)
+            break;
+        log::warn("progress_shortened",
+                  {{"bytes", text.size()},
+                   {"limit", maxProgressBytes},
+                   {"attempts_kept", detail == ProgressDetail::NoCheckpoints}});
+        text = encodeWith(progress, detail);
+    }
+    return text;
+}
+
 namespace {
 
 // Reads the progress of the tasks of one step. Returns false if it is malformed.
@@ -272,7 +313,7 @@
 {
     const Value *const others = arrayMember(step, "others");
     const int64_t count = number(step, "count");
-    if (!others || count < 0 || count > maxStoredTasks)
+    if (!others || count < 0 || count > int64_t(maxJobTasks))
         return false;
     tasks.resize(size_t(count));
     const std::string done = text(step, "done");
@@ -297,8 +338,7 @@
 absl::StatusOr<Progress> decodeProgress(const std::string &content)
 {
     rapidjson::Document document;
-    document.Parse(content.data(), content.size());
-    if (document.HasParseError() || !document.IsObject())
+    if (!parseJsonObject(document, content))
         return malformed("progress");
     const Value &root = document;
     Progress progress;
@@ -311,9 +351,8 @@
         std::vector<TaskProgress> tasks;
         if (!step.IsObject() || !readTasks(step, tasks))
             return malformed("progress");
-        progress.steps.emplace(
-                StepKey(uint32_t(number(step, "occurrence")), uint32_t(number(step, "step"))),
-                std::move(tasks));
+        progress.steps.emplace(StepKey(smallNumber(step, "occurrence"), smallNumber(step, "step")),
+                               std::move(tasks));
     }
     return progress;
 }
