Bound an owner's connections, confirm stale configurations and paused owners

Cause, connections: an owner opened up to five connections to each worker and members up to six to the owner; at 298 instances it reached its 4,021 descriptors and served nobody. Change: the callers' side follows the feed itself, and asks the store before it handles a request if the store has not confirmed the configuration within 1.5 s; an unknown queue is answered 503, not 404, while that fails. Queues are found by an index, since a configuration may have 1,400. Cause, pauses: an owner that was paused acted at once when it ran again, for up to 12 s after its last write. Change: after a pause of 700 ms or more a write has to take effect before orders and polls go out. Also: a worker entry that cannot be read names no worker to use; a job too large to store is answered 413.

--- a/src/cell/advicerouter.cpp
+++ b/src/cell/advicerouter.cpp
@@ -27,7 +27,10 @@
     if (!step.ok())
         return step.status();
     std::vector<WorkerId> workers;
-    for (const Json::Value &worker : (*value)["workers"]) {
+    const Json::Value &list = (*value)["workers"];
+    if (!list.isArray())
+        return makeError(Failure::InvalidValue, "the advice request names no workers");
+    for (const Json::Value &worker : list) {
         if (!worker.isString())
             return makeError(Failure::InvalidValue,
                              "a worker of the advice request is not a string");
@@ -53,6 +56,8 @@
     const absl::StatusOr<Json::Value> value = parseJson(body);
     if (!value.ok())
         return value.status();
+    if (!value->isArray())
+        return makeError(Failure::MalformedBody, "the advice response is not an array");
     std::vector<jobs::AllowedWorker> allowed;
     for (const Json::Value &row : *value) {
         if (!row.isArray() || row.size() != 2 || !row[0].isString() || !row[1].isString())
@@ -79,7 +84,9 @@
         if (m_callers.contains(address))
             continue;
         auto client = http::Client::create(m_context,
-                                           {.address = address, .traffic = Traffic::RpcControl});
+                                           {.address = address,
+                                            .maxConnections = maxCallerConnections,
+                                            .traffic = Traffic::RpcControl});
         if (!client.ok()) {
             log::warn("member_address_invalid", {{"address", address}, {"error", client.status()}});
             continue;
--- a/src/cell/advicerouter.h
+++ b/src/cell/advicerouter.h
@@ -18,7 +18,8 @@
 
 constexpr Duration adviceQueueTimeout = milliseconds(1200); // for a query that waits for a caller
 constexpr Duration shortQueryTime = milliseconds(60);       // a caller handles two of these at once
-constexpr size_t callersReservedForShort = 2;               // not used by long queries
+constexpr size_t maxCallerConnections = 2;    // as many queries as a caller gets at once
+constexpr size_t callersReservedForShort = 2; // not used by long queries
 constexpr Duration adviceTimeoutMargin = milliseconds(1200); // beyond the expected time
 constexpr Duration callerBackoff = seconds(2);               // after a failure of a caller
 
--- a/src/cell/entry.cpp
+++ b/src/cell/entry.cpp
@@ -4,7 +4,6 @@
 #include "base/json.h"
 #include "node/log.h"
 
-#include <absl/strings/match.h>
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -12,14 +11,19 @@
 
 namespace cwl::cell {
 
-Entry::Entry(boost::asio::io_context &context, TableStore &store, std::string member,
-             LocalOwner local, metrics::Registry &metrics)
+Entry::Entry(boost::asio::io_context &context, TableStore &store, const RowReader &reader,
+             std::string member, LocalOwner local, metrics::Registry &metrics)
     : m_context(context)
     , m_store(store)
     , m_member(std::move(member))
     , m_local(std::move(local))
     , m_acceptance(context, store)
     , m_relay(context)
+    , m_config(context, store, reader,
+               [this](const ConfigFollower::ConfigPointer &config) {
+                   if (configChanged)
+                       configChanged(config);
+               })
     , m_accepted(metrics.counter("cwl_cell_jobs_accepted_total", "Jobs stored."))
     , m_refused(metrics.counter("cwl_cell_jobs_refused_total",
                                 "Jobs rejected, certainly not stored."))
@@ -31,9 +35,9 @@
 {
 }
 
-void Entry::setConfig(std::shared_ptr<const jobs::CellConfig> config)
+void Entry::start()
 {
-    m_config = std::move(config);
+    m_config.start();
 }
 
 void Entry::setOwner(const OwnerRow &owner)
@@ -48,7 +52,7 @@
         return;
     auto client = http::Client::create(m_context,
                                        {.address = owner.address,
-                                        .maxConnections = 6,
+                                        .maxConnections = maxOwnerConnections,
                                         .connectTimeout = milliseconds(300),
                                         .traffic = Traffic::RpcControl});
     if (!client.ok()) {
@@ -58,19 +62,6 @@
     m_ownerClient = *std::move(client);
 }
 
-const jobs::Queue *Entry::findQueue(const std::string &host, const std::string &path) const
-{
-    const jobs::Queue *best = nullptr;
-    if (!m_config)
-        return nullptr;
-    for (const jobs::Queue &queue : m_config->queues) {
-        if (queue.host == host && absl::StartsWith(path, queue.prefix)
-            && (!best || queue.prefix.size() > best->prefix.size()))
-            best = &queue;
-    }
-    return best;
-}
-
 // Section: jobs
 
 void Entry::submit(jobs::JobSpec spec, TimePoint deadline, std::function<void(Answer)> callback)
@@ -79,8 +70,11 @@
     const JobId id = spec.id;
     Row row = {jobsTable, jobPart(id), id.value(), jobs::encodeJob(spec)};
     if (row.value.size() > maxJobBytes) {
-        log::info("job_refused", {{"job", id.value()}, {"reason", "too large to store"}});
-        callback(Answer::Refused);
+        log::info("job_refused",
+                  {{"job", id.value()},
+                   {"reason", "too large to store"},
+                   {"bytes", row.value.size()}});
+        callback(Answer::TooLarge);
         return;
     }
     storeRow(std::move(row), deadline,
@@ -262,11 +256,11 @@
     queryOwner("/cell/job", "id=" + id.value(), deadline,
                [onResult](const std::optional<Json::Value> &value) {
                    std::optional<StateResult> answer;
-                   if (value && (*value)["state"].isString()) {
-                       const auto state = jobs::jobStateFromName((*value)["state"].asString());
-                       if (state)
-                           answer = StateResult{Answer::Found, *state};
-                   }
+                   const absl::StatusOr<std::string> name =
+                           value ? stringMember(*value, "state") : std::string();
+                   const auto state = name.ok() ? jobs::jobStateFromName(*name) : std::nullopt;
+                   if (state)
+                       answer = StateResult{Answer::Found, *state};
                    onResult(answer);
                });
 }
@@ -313,7 +307,7 @@
 
 void Entry::onCounts(std::optional<Json::Value> counts)
 {
-    if (!counts)
+    if (!counts || !counts->isObject())
         return;
     m_counts = *std::move(counts);
     m_countsReceivedAt = BootClock::now();
@@ -328,7 +322,8 @@
             callback({Answer::Unavailable, 0});
             return;
         }
-        callback({Answer::Found, m_counts.get(queue, 0).asInt64()});
+        // Queues without waiting jobs are left out.
+        callback({Answer::Found, intMember(m_counts, queue.c_str(), 0, INT64_MAX).value_or(0)});
     };
     if (m_owner.holder == m_member) {
         m_local.waiting([context = &m_context, onResult](std::optional<Json::Value> counts) {
--- a/src/cell/entry.h
+++ b/src/cell/entry.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "cell/acceptance.h"
+#include "cell/configfollower.h"
 #include "cell/ownership.h"
 #include "cell/ports.h"
 #include "cell/relay.h"
@@ -24,17 +25,19 @@
 // Section: limits
 
 constexpr Duration ownerTimeout = milliseconds(350); // of a query to the owner
+// Each member opens so many to the owner, which has to accept those of all members.
+constexpr size_t maxOwnerConnections = 2;
 constexpr Duration storeReadTimeout = milliseconds(900);
 // Retry-After for rejected clients. An outage is expected to last as long again as it has lasted.
 constexpr Duration minRetryAfter = seconds(1); // the smallest value that HTTP allows
 constexpr Duration maxRetryAfter = seconds(3);
 constexpr Duration maxWaitingCountAge = milliseconds(1500); // for reuse of a cached count
-constexpr size_t maxJobTasks = 5000;                        // of one job
 constexpr size_t maxJobBytes = 45000; // stored form; a row of the store holds 65,536 in base64
 
 enum class Answer {
     Accepted,    // stored, or cancelled
     Refused,     // certainly not stored: retry later
+    TooLarge,    // certainly not stored, and never will be
     Unknown,     // it may be stored
     NotFound,    // no such job
     Found,       // with a state or a count
@@ -66,22 +69,23 @@
 class Entry
 {
 public:
-    Entry(boost::asio::io_context &context, TableStore &store, std::string member, LocalOwner local,
-          metrics::Registry &metrics);
+    Entry(boost::asio::io_context &context, TableStore &store, const RowReader &reader,
+          std::string member, LocalOwner local, metrics::Registry &metrics);
+
+    void start(); // on the traffic thread
+
+    // Called with each configuration that comes into force.
+    std::function<void(const ConfigFollower::ConfigPointer &config)> configChanged;
 
     // Section: updates from the control thread; called on the traffic thread
 
-    void setConfig(std::shared_ptr<const jobs::CellConfig> config);
     void setOwner(const OwnerRow &owner);
     void setPeers(std::vector<std::string> addresses) { m_relay.setPeers(std::move(addresses)); }
     void noteStoreResponse(TimePoint at) { m_acceptance.noteStoreResponse(at); }
 
     // Section: callers
 
-    bool hasConfig() const { return m_config != nullptr; }
-    const jobs::CellConfig *config() const { return m_config.get(); }
-    // The queue of `host` with the longest prefix that matches `path`; null if there is none.
-    const jobs::Queue *findQueue(const std::string &host, const std::string &path) const;
+    ConfigFollower &config() { return m_config; }
 
     void submit(jobs::JobSpec spec, TimePoint deadline, std::function<void(Answer)> callback);
     void cancel(const JobId &id, TimePoint deadline, std::function<void(Answer)> callback);
@@ -115,7 +119,7 @@
     const LocalOwner m_local;
     Acceptance m_acceptance;
     Relay m_relay;
-    std::shared_ptr<const jobs::CellConfig> m_config;
+    ConfigFollower m_config;
     OwnerRow m_owner = {};
     std::shared_ptr<http::Client> m_ownerClient;
     std::string m_ownerAddress;
--- a/src/cell/member.cpp
+++ b/src/cell/member.cpp
@@ -3,6 +3,7 @@
 #include "base/error.h"
 #include "base/json.h"
 #include "base/random.h"
+#include "cell/connectionbudget.h"
 #include "node/log.h"
 
 #include <absl/strings/numbers.h>
@@ -53,6 +54,7 @@
     options.name = settings.process.instance.value();
     options.address = absl::StrCat(settings.process.address, ":", settings.process.httpPort);
     options.cores = Millicores(int64_t(settings.coreShare * 1000));
+    options.maxPollConnections = connectionBudget(settings.maxDescriptors).polls;
     options.dispatcher = dispatcherSettings(settings);
     m_owner = std::make_unique<Owner>(node.controlContext(), options, *m_links.controlStore,
                                       *m_links.workers, *m_links.controlAdvice, m_links.reader,
@@ -81,11 +83,12 @@
             m_owner->noteStored(key, value);
         });
     };
-    m_entry = std::make_unique<Entry>(node.trafficContext(), *m_links.trafficStore, member,
-                                      std::move(local), node.metrics());
-    m_owner->configChanged = [this](const jobs::CellConfig &config) {
-        auto copy = std::make_shared<const jobs::CellConfig>(config);
-        asio::post(m_node.trafficContext(), [this, copy] { m_entry->setConfig(copy); });
+    m_entry = std::make_unique<Entry>(node.trafficContext(), *m_links.trafficStore, m_links.reader,
+                                      member, std::move(local), node.metrics());
+    m_entry->configChanged = [this](const ConfigFollower::ConfigPointer &config) {
+        if (configChanged)
+            configChanged(*config);
+        asio::post(m_node.controlContext(), [this, config] { m_owner->setConfig(*config); });
     };
     m_owner->ownerChanged = [this](const OwnerRow &owner) {
         asio::post(m_node.trafficContext(), [this, owner] { m_entry->setOwner(owner); });
@@ -108,6 +111,7 @@
         m_stopTimer.async_wait([done](boost::system::error_code) { done(); });
     });
     asio::post(node.controlContext(), [this] { m_owner->start(); });
+    asio::post(node.trafficContext(), [this] { m_entry->start(); });
 }
 
 bool Member::isReady() const
--- a/src/cell/member.h
+++ b/src/cell/member.h
@@ -35,6 +35,9 @@
 public:
     Member(const CellSettings &settings, node::Node &node, PlatformLinks links);
 
+    // Called on the traffic thread with each configuration that comes into force.
+    std::function<void(const jobs::CellConfig &config)> configChanged;
+
     Entry &entry() { return *m_entry; }
     bool isReady() const; // any thread
 
--- a/src/cell/owner.cpp
+++ b/src/cell/owner.cpp
@@ -40,9 +40,6 @@
                            }})
     , m_dispatcher(options.dispatcher)
     , m_advice(context, advice)
-    , m_configFollower(context, store, {.table = reader.configTable},
-                       {.snapshot = [this](const std::vector<Row> &rows) { onConfig(rows); },
-                        .changed = [this](const std::vector<Row> &rows) { onConfig(rows); }})
     , m_decideTimer(context)
     , m_storeTimer(context)
     , m_tickTimer(context)
@@ -81,7 +78,6 @@
 
 void Owner::start()
 {
-    m_configFollower.start();
     m_ownership.start();
     announceAddress();
     after(m_membersTimer, firstMembersDelay, [this] { readMembers(); });
@@ -120,8 +116,7 @@
 
 bool Owner::canReachStore(TimePoint now) const
 {
-    const TimePoint last = std::max(m_ownership.lastResponse(), m_configFollower.lastResponse());
-    return now - last < leasePollWait + leasePollMargin + milliseconds(300);
+    return now - m_ownership.lastResponse() < leasePollWait + leasePollMargin + milliseconds(300);
 }
 
 Json::Value Owner::state() const
@@ -143,30 +138,11 @@
 
 // Section: configuration and members
 
-void Owner::onConfig(const std::vector<Row> &rows)
+void Owner::setConfig(const jobs::CellConfig &config)
 {
-    for (const Row &row : rows) {
-        if (row.key != m_reader.configKey || row.isDeleted)
-            continue;
-        const absl::StatusOr<jobs::CellConfig> config = m_reader.config(row.value);
-        if (!config.ok()) {
-            log::error("config_unreadable",
-                       {{"revision", row.revision.value()}, {"error", config.status()}});
-            continue;
-        }
-        if (config->version <= m_config.version)
-            continue;
-        log::info("config_in_force",
-                  {{"version", config->version},
-                   {"previous", m_config.version},
-                   {"queues", config->queues.size()},
-                   {"revision", row.revision.value()}});
-        m_config = *config;
-        m_dispatcher.setConfig(m_config);
-        if (configChanged)
-            configChanged(m_config);
-        scheduleDecision();
-    }
+    m_config = config;
+    m_dispatcher.setConfig(m_config);
+    scheduleDecision();
 }
 
 // Stores the address of this member for the other members; retries until it succeeds.
@@ -232,8 +208,7 @@
     if (!m_isActive)
         return;
     const TimePoint now = BootClock::now();
-    // After a process pause the ownership may have expired.
-    if (!m_ownership.isValid(now))
+    if (!m_ownership.mayAct(now))
         return;
     const jobs::Orders orders = m_dispatcher.decide(now, UnixMilliseconds::now());
     const TimePoint decided = BootClock::now();
@@ -278,7 +253,9 @@
                 const TimePoint now = BootClock::now();
                 m_orderTime.observe(now - sentAt);
                 m_dispatcher.onStartAnswered(order, answer, now);
-                if (answer != jobs::OrderAnswer::Accepted)
+                if (answer == jobs::OrderAnswer::Accepted)
+                    expediteWatch(order.worker);
+                else
                     scheduleDecision();
             });
 }
@@ -390,6 +367,7 @@
         const auto entry = m_watches.find(id.value());
         if (entry != m_watches.end()) {
             m_gateway.closeConnections(entry->second->target);
+            m_pollConnections -= entry->second->keepsConnection ? 1 : 0;
             m_watches.erase(entry);
         }
         m_dispatcher.forgetWorker(id);
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -33,6 +33,10 @@
 constexpr Duration watchWait = milliseconds(1000);          // of one poll of a worker
 constexpr Duration watchResponseMargin = milliseconds(900); // beyond its wait
 constexpr Duration watchRetryPause = milliseconds(400);     // after a failed poll
+// Between polls that do not wait: workers without runs share connections when there are too few for
+// all workers, then also those with runs.
+constexpr Duration idlePollInterval = milliseconds(1000);
+constexpr Duration sharedPollInterval = milliseconds(200);
 constexpr Duration commitInterval = milliseconds(12);       // combines completions into one write
 constexpr Duration maxAcknowledgeDelay = milliseconds(150); // of a poll, for a write
 constexpr Duration ownerMembersInterval =
@@ -50,10 +54,11 @@
 
 struct OwnerOptions
 {
-    std::string member;    // id of this process
-    std::string name;      // of the instance
-    std::string address;   // where it serves other members, "ip:port"
-    Millicores cores = {}; // processor share of the instance
+    std::string member;                   // id of this process
+    std::string name;                     // of the instance
+    std::string address;                  // where it serves other members, "ip:port"
+    Millicores cores = {};                // processor share of the instance
+    size_t maxPollConnections = SIZE_MAX; // to workers; see ConnectionBudget::polls
     jobs::DispatcherSettings dispatcher = {};
 };
 
@@ -66,10 +71,10 @@
     ~Owner();
 
     void start();
-    void resign(std::function<void()> done); // other members take over
+    void setConfig(const jobs::CellConfig &config); // that comes into force
+    void resign(std::function<void()> done);        // other members take over
 
-    // Called with each configuration that comes into force, and with each change of the owner.
-    std::function<void(const jobs::CellConfig &config)> configChanged;
+    // Called with each change of the owner.
     std::function<void(const OwnerRow &owner)> ownerChanged;
     // Called with the addresses of the other members, and with each response of the store.
     std::function<void(const std::vector<std::string> &addresses)> membersChanged;
@@ -111,7 +116,6 @@
     void onJobsChanged(const std::vector<Row> &rows);
     void addJob(const std::string &row, const char *source);
     void onWorkers(const std::vector<Row> &rows, bool isSnapshot);
-    void onConfig(const std::vector<Row> &rows);
     void announceAddress();
     void readMembers();
     void retryLoad();
@@ -136,6 +140,8 @@
     void onWatched(const std::shared_ptr<Watch> &entry, TimePoint sentAt,
                    const WatchResult &result);
     void resumeWatches();
+    void expediteWatch(const WorkerId &id);
+    void takePollConnection(Watch &entry, bool hasRuns);
 
     void after(Timer &timer, Duration pause, std::function<void()> action);
 
@@ -148,11 +154,12 @@
     jobs::Dispatcher m_dispatcher;
     AdviceRouter m_advice;
     jobs::CellConfig m_config;
-    TableFollower m_configFollower;
     std::unique_ptr<TableFollower> m_jobsFollower;    // while owner
     std::unique_ptr<TableFollower> m_workersFollower; // while owner
     std::unordered_map<std::string, jobs::Progress> m_loadedProgress;
     std::unordered_map<std::string, std::shared_ptr<Watch>> m_watches;
+    size_t m_pollConnections = 0; // of the watches
+    bool m_arePollsExhausted = false;
     std::unordered_map<std::string, std::string> m_usedWorkers; // id to address, as to be stored
     std::shared_ptr<http::Client> m_predecessor;
     std::shared_ptr<http::Client> m_probe; // to the owner
--- a/src/cell/ownerload.cpp
+++ b/src/cell/ownerload.cpp
@@ -15,6 +15,27 @@
 
 namespace cwl::cell {
 
+namespace {
+
+// The epoch that a member holds, from its response to /cell/owner; 0: none.
+absl::StatusOr<Epoch> readHeldEpoch(const absl::StatusOr<http::Response> &response)
+{
+    if (!response.ok())
+        return response.status();
+    if (response->status != 200)
+        return makeError(Failure::ProtocolError,
+                         absl::StrCat("the member answered ", response->status));
+    const absl::StatusOr<Json::Value> value = parseJson(response->body);
+    if (!value.ok())
+        return value.status();
+    const absl::StatusOr<int64_t> epoch = intMember(*value, "epoch", 0, INT64_MAX);
+    if (!epoch.ok())
+        return epoch.status();
+    return Epoch(*epoch);
+}
+
+} // namespace
+
 // Section: becoming the owner
 
 void Owner::onOwnershipWon(Epoch epoch, const OwnerRow &previous)
@@ -42,7 +63,8 @@
 // time out.
 void Owner::probeOwner()
 {
-    after(m_probeTimer, probeInterval, [this] { probeOwner(); });
+    const auto spread = std::max<int64_t>(1, int64_t(m_otherMembers / membersPerProbeInterval));
+    after(m_probeTimer, spread * probeInterval, [this] { probeOwner(); });
     const OwnerRow &owner = m_ownership.owner();
     if (m_ownership.isOwner() || owner.holder.empty() || owner.address == m_options.address) {
         // The owner was an earlier process at this address; this process is its restart.
@@ -84,8 +106,8 @@
             m_ownership.noteOwnerEnded(epoch);
         return;
     }
-    const absl::StatusOr<Json::Value> value = parseJson(response->body);
-    if (response->status == 200 && value.ok() && (*value)["epoch"].asInt64() != epoch.value())
+    const absl::StatusOr<Epoch> held = readHeldEpoch(response);
+    if (held.ok() && *held != epoch)
         m_ownership.noteOwnerEnded(epoch);
 }
 
@@ -119,14 +141,9 @@
 
 void Owner::onPredecessorResponse(Epoch epoch, const absl::StatusOr<http::Response> &response)
 {
-    const auto value = response.ok() ? parseJson(response->body)
-                                     : absl::StatusOr<Json::Value>(response.status());
-    const bool hasStopped =
-            value.ok() && response->status == 200 && (*value)["epoch"].asInt64() != epoch.value();
-    if (!hasStopped) {
-        log::info("predecessor_unresponsive",
-                  {{"epoch", epoch.value()},
-                   {"error", value.ok() ? absl::OkStatus() : value.status()}});
+    const absl::StatusOr<Epoch> held = readHeldEpoch(response);
+    if (!held.ok() || *held == epoch) {
+        log::info("predecessor_unresponsive", {{"epoch", epoch.value()}, {"error", held.status()}});
         after(m_predecessorTimer, predecessorInterval, [this, term = m_term, epoch] {
             if (term == m_term && m_ownership.isOwner())
                 sendPredecessorProbe(epoch);
@@ -198,8 +215,13 @@
             log::error("used_workers_unreadable", {{"revision", row.revision.value()}});
             continue;
         }
-        for (const std::string &id : value->getMemberNames())
-            m_usedWorkers[id] = (*value)[id].asString();
+        for (const std::string &id : value->getMemberNames()) {
+            const absl::StatusOr<std::string> address = stringMember(*value, id.c_str());
+            if (address.ok())
+                m_usedWorkers[id] = *address;
+            else
+                log::error("used_worker_unreadable", {{"worker", id}, {"error", address.status()}});
+        }
     }
     std::vector<std::string> parts;
     for (size_t number = 0; number < jobParts; ++number)
@@ -313,7 +335,9 @@
         }
         const absl::StatusOr<jobs::WorkerEntry> entry = m_reader.worker(row.key, row.value);
         if (!entry.ok()) {
+            // Such an entry names no worker to use; what runs there goes on.
             log::info("worker_entry_unreadable", {{"worker", row.key}, {"error", entry.status()}});
+            m_dispatcher.unlistWorker(WorkerId(row.key), now);
             continue;
         }
         listed[row.key] = true;
@@ -343,6 +367,7 @@
     for (const auto &[id, entry] : m_watches)
         m_gateway.closeConnections(entry->target);
     m_watches.clear();
+    m_pollConnections = 0;
     m_removals.clear();
     m_tickTimer.cancel();
     m_decideTimer.cancel();
--- a/src/cell/ownership.cpp
+++ b/src/cell/ownership.cpp
@@ -59,6 +59,18 @@
     return m_isOwner && now - m_lastCommit < maxStoreOutage;
 }
 
+bool Ownership::mayAct(TimePoint now)
+{
+    if (m_isOwner && now - m_lastActive > maxProcessPause) {
+        log::warn("process_paused",
+                  {{"epoch", m_owner.epoch.value()}, {"time", now - m_lastActive}});
+        m_confirmAfter = now;
+        commit({}, {}, {});
+    }
+    m_lastActive = now;
+    return isValid(now) && m_lastCommit >= m_confirmAfter;
+}
+
 // Section: following the owner
 
 void Ownership::readLease()
@@ -293,6 +305,8 @@
     m_revision = revision;
     m_leaseChangedAt = BootClock::now();
     m_termStart = m_leaseChangedAt;
+    m_lastActive = m_leaseChangedAt;
+    m_confirmAfter = {};
     m_lastRenewal = m_lastCommit;
     log::info("ownership_won",
               {{"epoch", m_owner.epoch.value()},
--- a/src/cell/ownership.h
+++ b/src/cell/ownership.h
@@ -45,6 +45,8 @@
 // An owner does not resign for a larger member earlier: each change requires a recovery.
 constexpr Duration minTerm = seconds(3);
 constexpr Duration probeInterval = milliseconds(200); // between queries to the owner
+// In larger cells the interval grows, so that the owner gets no more queries than from so many.
+constexpr size_t membersPerProbeInterval = 32;
 constexpr Duration probeTimeout = milliseconds(250);
 constexpr Duration leasePollWait = milliseconds(400);    // of one poll of the renewals
 constexpr Duration leasePollMargin = milliseconds(1200); // beyond its wait
@@ -56,6 +58,8 @@
 // An owner that has not reached the store for this long starts no runs and renews no leases.
 // Longer than the outages that running work must survive.
 constexpr Duration maxStoreOutage = seconds(12);
+// A process that did not run for longer may have been replaced meanwhile.
+constexpr Duration maxProcessPause = renewalTimeout - renewInterval - milliseconds(50);
 
 struct OwnershipOptions
 {
@@ -91,6 +95,9 @@
     const OwnerRow &owner() const { return m_owner; }
     // False once the owner has not reached the store for `maxStoreOutage`.
     bool isValid(TimePoint now) const;
+    // True if the owner may send orders. Called at least every few 10 ms: after a longer pause of
+    // the process another member may own the cell, so a write has to take effect first.
+    bool mayAct(TimePoint now);
     TimePoint lastResponse() const { return m_lastResponse; } // of the store, to the follower
 
     // Writes rows of the owner's part under the owner's condition. `committed` is called once they
@@ -151,6 +158,9 @@
     Epoch m_endedEpoch = {};       // whose process is known to have ended
     TimePoint m_lastResponse;
     TimePoint m_lastCommit = {}; // send time of the last write that took effect
+    TimePoint m_lastActive = {}; // last call of mayAct()
+    TimePoint m_confirmAfter =
+            {}; // end of the last pause: no orders until a later write took effect
     TimePoint m_lastRenewal = {};
     TimePoint m_termStart = {};
     bool m_isOwner = false;
--- a/src/cell/ownerwatch.cpp
+++ b/src/cell/ownerwatch.cpp
@@ -30,17 +30,23 @@
 void Owner::sendWatch(const std::shared_ptr<Watch> &entry)
 {
     const TimePoint now = BootClock::now();
-    if (!m_isActive || !m_ownership.isValid(now) || !m_dispatcher.findWorker(entry->id))
+    if (!m_isActive || !m_dispatcher.findWorker(entry->id))
         return;
+    if (!m_ownership.mayAct(now)) {
+        after(entry->timer, tickInterval, [this, entry] { sendWatch(entry); });
+        return;
+    }
     entry->isWaitingForWrite = false;
+    entry->isPaused = false;
     const jobs::Worker &worker = *m_dispatcher.findWorker(entry->id);
     const jobs::WatchOrder order = m_dispatcher.watchOrder(entry->id, now);
     // The first poll fences the worker and must not wait; completions that are not acknowledged yet
     // would end the wait at once.
-    const bool waits =
-            worker.hasReported && worker.completionsProcessed == worker.completionsAcknowledged;
+    takePollConnection(*entry, !worker.runs.empty());
+    const bool waits = entry->keepsConnection && worker.hasReported
+            && worker.completionsProcessed == worker.completionsAcknowledged;
     const Duration wait = waits ? watchWait : Duration::zero();
-    m_gateway.watch(entry->target, order, m_ownership.epoch(), wait,
+    m_gateway.watch(entry->target, order, m_ownership.epoch(), wait, entry->keepsConnection,
                     now + wait + watchResponseMargin,
                     [this, alive = m_alive, term = m_term, entry, now](const WatchResult &result) {
                         if (!*alive || term != m_term || checkFenced(result.answer))
@@ -73,7 +79,13 @@
     m_dispatcher.onReport(entry->id, result.report, sentAt, now);
     scheduleDecision();
     if (worker->completionsProcessed == worker->completionsAcknowledged) {
-        sendWatch(entry);
+        if (entry->keepsConnection) {
+            sendWatch(entry);
+            return;
+        }
+        entry->isPaused = true;
+        after(entry->timer, worker->runs.empty() ? idlePollInterval : sharedPollInterval,
+              [this, entry] { sendWatch(entry); });
         return;
     }
     entry->isWaitingForWrite = true;
@@ -84,6 +96,37 @@
     });
 }
 
+// Gives the worker's polls a connection of their own, or takes it back. Where there are fewer
+// connections than workers, those with runs go first: their completions are waited for.
+void Owner::takePollConnection(Watch &entry, bool hasRuns)
+{
+    const bool isScarce = m_watches.size() > m_options.maxPollConnections;
+    if (entry.keepsConnection && isScarce && !hasRuns) {
+        entry.keepsConnection = false;
+        --m_pollConnections;
+    } else if (!entry.keepsConnection && (hasRuns || !isScarce)
+               && m_pollConnections < m_options.maxPollConnections) {
+        entry.keepsConnection = true;
+        ++m_pollConnections;
+    }
+    const bool isExhausted = hasRuns && !entry.keepsConnection;
+    if (isExhausted && !std::exchange(m_arePollsExhausted, true))
+        log::warn("poll_connections_exhausted",
+                  {{"limit", m_options.maxPollConnections}, {"workers", m_watches.size()}});
+    else if (m_pollConnections < m_options.maxPollConnections)
+        m_arePollsExhausted = false;
+}
+
+// A start makes completions of this worker likely, so it is polled without the pause.
+void Owner::expediteWatch(const WorkerId &id)
+{
+    const auto found = m_watches.find(id.value());
+    if (found == m_watches.end() || !found->second->isPaused)
+        return;
+    found->second->timer.cancel();
+    sendWatch(found->second);
+}
+
 void Owner::resumeWatches()
 {
     std::vector<std::shared_ptr<Watch>> ready;
--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -107,9 +107,11 @@
                       OrderCallback callback) = 0;
     virtual void pace(const jobs::PaceOrder &order, Epoch epoch, TimePoint deadline,
                       OrderCallback callback) = 0;
-    // Calls back when a run ends, or after `wait`.
+    // Calls back when a run ends, or after `wait`. The connection is kept for the next poll of the
+    // worker if `keepsConnection`, else it is shared with orders and other workers.
     virtual void watch(const WorkerTarget &target, const jobs::WatchOrder &order, Epoch epoch,
-                       Duration wait, TimePoint deadline, WatchCallback callback) = 0;
+                       Duration wait, bool keepsConnection, TimePoint deadline,
+                       WatchCallback callback) = 0;
     virtual void closeConnections(const WorkerTarget &target) = 0; // closes its connections
 };
 
--- a/src/cell/tablefollower.cpp
+++ b/src/cell/tablefollower.cpp
@@ -104,7 +104,7 @@
 void TableFollower::readAll()
 {
     readParts(m_store, m_options.table, m_options.parts,
-              [this, alive = m_alive](absl::StatusOr<Page> page) {
+              [this, alive = m_alive, sentAt = BootClock::now()](absl::StatusOr<Page> page) {
                   if (!*alive)
                       return;
                   if (!page.ok()) {
@@ -112,6 +112,7 @@
                       return;
                   }
                   m_lastResponse = BootClock::now();
+                  m_confirmedAt = sentAt;
                   m_seenRevision = page->revision;
                   m_events.snapshot(std::move(page->rows));
                   if (*alive)
@@ -121,9 +122,10 @@
 
 void TableFollower::follow()
 {
-    const TimePoint deadline = BootClock::now() + m_options.wait + followResponseMargin;
+    const TimePoint sentAt = BootClock::now();
+    const TimePoint deadline = sentAt + m_options.wait + followResponseMargin;
     m_store.changes(m_options.table, m_seenRevision, m_options.wait, deadline,
-                    [this, alive = m_alive](absl::StatusOr<Page> page) {
+                    [this, alive = m_alive, sentAt](absl::StatusOr<Page> page) {
                         if (!*alive)
                             return;
                         if (!page.ok()) {
@@ -135,6 +137,10 @@
                         m_lastResponse = BootClock::now();
                         m_seenRevision = std::max(m_seenRevision, page->revision);
                         const bool hasChanges = !page->rows.empty();
+                        // A poll without changes has waited for them all the time.
+                        m_confirmedAt = hasChanges
+                                ? sentAt
+                                : std::min(m_lastResponse, sentAt + m_options.wait);
                         if (hasChanges)
                             m_events.changed(std::move(page->rows));
                         if (!*alive)
--- a/src/cell/tablefollower.h
+++ b/src/cell/tablefollower.h
@@ -49,6 +49,8 @@
     void start();
 
     TimePoint lastResponse() const { return m_lastResponse; } // of the store; zero: none yet
+    // The store has passed on every change up to this time; zero: none yet.
+    TimePoint confirmedAt() const { return m_confirmedAt; }
 
 private:
     void readAll();
@@ -62,6 +64,7 @@
     boost::asio::basic_waitable_timer<BootClock> m_timer;
     Revision m_seenRevision = {};
     TimePoint m_lastResponse = {};
+    TimePoint m_confirmedAt = {};
     bool m_isStoreUnreachable = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/cell/watch.h
+++ b/src/cell/watch.h
@@ -20,6 +20,8 @@
     WorkerId id;
     WorkerTarget target = {};
     Timer timer;
+    bool keepsConnection = false;
+    bool isPaused = false; // no poll is in flight; the timer sends the next one
     bool isWaitingForWrite = false;
     bool isUnreachable = false;
     TimePoint waitingSince = {};
--- a/tests/cell/memorystore.cpp
+++ b/tests/cell/memorystore.cpp
@@ -95,6 +95,8 @@
         answer([callback = std::move(callback)] { callback(unavailable()); });
         return;
     }
+    if (isFeedSilent && wait > Duration::zero())
+        return;
     const Page page = changedAfter(table, after);
     if (!page.rows.empty() || wait <= Duration::zero()) {
         answer([callback = std::move(callback), page] { callback(page); });
--- a/tests/cell/memorystore.h
+++ b/tests/cell/memorystore.h
@@ -29,7 +29,8 @@
     // Value of a row; empty if there is none.
     std::string value(const std::string &table, const std::string &part,
                       const std::string &key) const;
-    bool isDown = false; // every call fails with StoreUnavailable
+    bool isDown = false;       // every call fails with StoreUnavailable
+    bool isFeedSilent = false; // polls for changes that wait are not answered
 
 private:
     using Key = std::tuple<std::string, std::string, std::string>; // table, part, key
--- a/tests/cell/ownership_test.cpp
+++ b/tests/cell/ownership_test.cpp
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace {
@@ -26,6 +27,7 @@
     CPPUNIT_TEST(smallMemberTakesOverWhereThereIsNoLargeOne);
     CPPUNIT_TEST(smallOwnerYieldsToALargeMember);
     CPPUNIT_TEST(ownerDoesNotYieldToAnEqualMember);
+    CPPUNIT_TEST(pausedOwnerConfirmsItsOwnershipBeforeItActs);
     CPPUNIT_TEST_SUITE_END();
 
     boost::asio::io_context m_context{1};
@@ -115,6 +117,28 @@
         });
         CPPUNIT_ASSERT(owner.isOwner());
     }
+
+    // Guards against an owner that was paused, in which time another member may have taken over,
+    // and that sends orders before it has heard from the store.
+    void pausedOwnerConfirmsItsOwnershipBeforeItActs()
+    {
+        Ownership &owner = add("owner", large);
+        runUntil("it owns the cell", [&] { return owner.isOwner(); });
+        CPPUNIT_ASSERT(owner.mayAct(BootClock::now()));
+        std::this_thread::sleep_for(maxProcessPause + milliseconds(50));
+        CPPUNIT_ASSERT(!owner.mayAct(BootClock::now()));
+        runUntil("it has confirmed its ownership", [&] { return owner.mayAct(BootClock::now()); });
+        // Without the store it cannot tell whether it has been replaced.
+        m_store.isDown = true;
+        std::this_thread::sleep_for(maxProcessPause + milliseconds(50));
+        const TimePoint end = BootClock::now() + milliseconds(500);
+        runUntil("some time has passed", [&] {
+            CPPUNIT_ASSERT(!owner.mayAct(BootClock::now()));
+            return BootClock::now() > end;
+        });
+        m_store.isDown = false;
+        runUntil("it has confirmed its ownership", [&] { return owner.mayAct(BootClock::now()); });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OwnershipTest);
--- a/tests/usersplatform/cell_test.cpp
+++ b/tests/usersplatform/cell_test.cpp
@@ -34,6 +34,9 @@
     CPPUNIT_TEST(refusalsAreTrue);
     CPPUNIT_TEST(memberThatTheStoreTurnsAwayStoresThroughAnother);
     CPPUNIT_TEST(silentStoreIsAnsweredForSoon);
+    CPPUNIT_TEST(malformedBodiesEndNoMember);
+    CPPUNIT_TEST(malformedAnswersEndNoMember);
+    CPPUNIT_TEST(bodiesAboveTheConfiguredLimitAreRefused);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<Deployment> m_deployment;
@@ -286,6 +289,96 @@
         assertNothingBroken();
     }
 
+    // Bodies that are not what any reader expects: depth, types, numbers, encoding, truncation.
+    static std::vector<std::string> malformedBodies()
+    {
+        constexpr size_t depth = 200000;
+        return {
+                "{\"spec\":\"x\",\"phases\":" + std::string(depth, '['),
+                "{\"rows\":" + std::string(depth, '[') + std::string(depth, ']') + "}",
+                std::string(depth, '{'),
+                "[]",
+                "\"text\"",
+                "7",
+                "null",
+                "{}",
+                "{\"spec\":\"\xff\xfe\",\"phases\":[{\"count\":1}]}",
+                "{\"spec\":7,\"phases\":[{\"count\":-1,\"cpu\":1e300,\"estRuntimeMs\":-1e300}]}",
+                "{\"phases\":[{\"count\":1,\"cpu\":-5}]}",
+                "{\"phases\":[{\"count\":1,\"after\":[0]}]}",
+                "{\"phases\":[{\"count\":4000}],\"times\":1000000,\"startAtMs\":0,\"intervalMs\":"
+                "1}",
+                "{\"epoch\":\"x\",\"state\":[],\"step\":{},\"workers\":7,\"stored\":[]}",
+                "{\"step\":\"x\",\"workers\":\"x\"}",
+                "{\"rows\":[{\"table\":7,\"ver\":1e300,\"value\":\"%%%\"}],\"ver\":\"x\"}",
+                "{\"clockMs\":1e300,\"running\":[[],[1,2,3,4]],\"finished\":[[0]]}",
+                "{\"clockMs\":1,\"running\":[[\"a.0.0.0\",1e300,7,-1e300]],\"finished\":"
+                "[[1e300,\"a.0.0.0\",-1,\"?\",7]]}",
+                "{\"allowed\":[7,[],[7,7]]}",
+                "{\"phases\":[{\"count\":1",
+        };
+    }
+
+    // Guards against a member that one request ends: a deeply nested body overflowed the stack of
+    // the parser, and a body of another type threw in a callback.
+    void malformedBodiesEndNoMember()
+    {
+        const std::vector<std::string> paths = {"/cell/stored?key=5c0e7a21d94b36f8",
+                                                "/cell/relay?key=",
+                                                "/cell/advise",
+                                                "/cell/owner",
+                                                "/cell/job",
+                                                "/cell/explain?id=%"};
+        for (const std::string &body : malformedBodies()) {
+            for (size_t index = 0; index < members; ++index) {
+                const int told = status(member(index).callers, "POST", "/draw/" + nextJob(), body);
+                CPPUNIT_ASSERT_MESSAGE(body.substr(0, 80) + absl::StrCat(" answered ", told),
+                                       told == 400 || told == 413);
+                for (const std::string &path : paths)
+                    status(member(index).admin, "POST", path, body);
+            }
+        }
+        for (size_t index = 0; index < members; ++index)
+            CPPUNIT_ASSERT_EQUAL(1, member(index).lives);
+        for (size_t index = 0; index < members; ++index)
+            CPPUNIT_ASSERT(member(index).process->isRunning());
+        waitForState(submit(), "completed");
+        assertNothingBroken();
+    }
+
+    // Guards against members that an answer of the store or of a worker ends.
+    void malformedAnswersEndNoMember()
+    {
+        for (const std::string &body : malformedBodies()) {
+            onStandins([&] { m_deployment->worker(0).answersWith = body; });
+            std::this_thread::sleep_for(milliseconds(60));
+        }
+        onStandins([this] { m_deployment->worker(0).answersWith.clear(); });
+        for (const std::string &body : malformedBodies()) {
+            onStandins([&] { m_deployment->store().faults.answersWith = body; });
+            std::this_thread::sleep_for(milliseconds(60));
+        }
+        onStandins([this] { m_deployment->store().faults.answersWith.clear(); });
+        waitForState(submit(), "completed");
+        for (size_t index = 0; index < members; ++index)
+            CPPUNIT_ASSERT(member(index).process->isRunning());
+        assertNothingBroken();
+    }
+
+    // Guards against instances of 160 MB that read bodies of any size into memory, and against a
+    // 503 for a body that no retry can make fit.
+    void bodiesAboveTheConfiguredLimitAreRefused()
+    {
+        const std::string large(300000, ' '); // the configuration allows 262,144
+        CPPUNIT_ASSERT_EQUAL(
+                413, status(member(0).callers, "POST", "/draw/" + nextJob(), jobBody(1) + large));
+        Json::Value body;
+        body["spec"] = std::string(60000, 'x'); // fits the limit, but not a row of the store
+        body["phases"][0]["count"] = 1;
+        CPPUNIT_ASSERT_EQUAL(
+                413, status(member(0).callers, "POST", "/draw/" + nextJob(), writeJson(body)));
+    }
+
     // Guards against requests that are held until their clients give up while no member reaches
     // the store, although nothing more can be done for them.
     void silentStoreIsAnsweredForSoon()
--- a/tests/usersplatform/tablestore.cpp
+++ b/tests/usersplatform/tablestore.cpp
@@ -97,6 +97,8 @@
         return;
     if (faults.refuses)
         return answer(respond, 503, {});
+    if (!faults.answersWith.empty())
+        return respond({.status = 200, .body = faults.answersWith});
     if (request.path == "/v1/rows-tx")
         transaction(request, respond);
     else if (request.path == "/v1/rows-get")
--- a/tests/usersplatform/tablestore.h
+++ b/tests/usersplatform/tablestore.h
@@ -22,10 +22,11 @@
 
 struct StoreFaults
 {
-    double lostAnswers = 0;   // share of writes that take effect and are not answered
-    bool refuses = false;     // everything is answered with 503
-    bool isSilent = false;    // nothing is answered
-    bool refusesSide = false; // like `refuses`, on the side port only
+    double lostAnswers = 0;       // share of writes that take effect and are not answered
+    bool refuses = false;         // everything is answered with 503
+    bool isSilent = false;        // nothing is answered
+    bool refusesSide = false;     // like `refuses`, on the side port only
+    std::string answersWith = {}; // this body with status 200, whatever was asked; empty: off
 };
 
 // Lives on the thread that runs the io_context.
--- a/tests/usersplatform/workers.cpp
+++ b/tests/usersplatform/workers.cpp
@@ -70,6 +70,8 @@
 {
     if (isSilent)
         return;
+    if (!answersWith.empty())
+        return respond({.status = 200, .body = answersWith});
     const auto body = parseJson(request.body);
     if (!body.ok())
         return answer(respond, 400, {});
--- a/tests/usersplatform/workers.h
+++ b/tests/usersplatform/workers.h
@@ -40,8 +40,9 @@
     std::string entry(uint16_t port) const; // for the store's list of workers, reached at `port`
     const std::string &id() const { return m_id; }
 
-    int64_t runMs = 150;   // of each task
-    bool isSilent = false; // answers nothing; leases run on
+    int64_t runMs = 150;          // of each task
+    bool isSilent = false;        // answers nothing; leases run on
+    std::string answersWith = {}; // this body with status 200, whatever was asked; empty: off
 
 private:
     struct Run
