Spread the list of used workers over rows; learn how far estimates hold

From about 1,850 workers on the row was too large, the store answered 400 to the write with it, and the write, which also renews the ownership, was sent again unchanged. The owner changed every 1.5 s and nothing was served. A write that the store refuses for its content keeps only its renewal, and the rows are sent again a second later. Change: a model weighs the estimate and the mean run time of the queue by how well each has predicted its runs.

--- a/src/cell/owner.cpp
+++ b/src/cell/owner.cpp
@@ -306,8 +306,8 @@
 void Owner::storeChanges()
 {
     const TimePoint now = BootClock::now();
-    if (!m_isActive || m_ownership.isCommitting()
-        || (!m_dispatcher.hasUnstored() && !m_usedWorkersChanged && m_removals.empty()
+    if (!m_isActive || m_ownership.isCommitting() || now < m_storeNotBefore
+        || (!m_dispatcher.hasUnstored() && !m_usedWorkers.hasChanges() && m_removals.empty()
             && !m_dispatcher.awaitsConfirmation()))
         return;
     if (now - m_lastStore < commitInterval) {
@@ -319,14 +319,9 @@
     writes.reserve(batch.rows.size() + 2);
     for (const jobs::Batch::JobRow &row : batch.rows)
         writes.push_back({progressTable, ownerPart, row.id.value(), row.progress});
-    if (m_usedWorkersChanged) {
-        Json::Value value(Json::objectValue);
-        for (const auto &[id, address] : m_usedWorkers)
-            value[id] = address;
-        writes.push_back({ownerTable, ownerPart, workersKey, writeJson(value)});
-        m_usedWorkersChanged = false;
-    }
-    std::vector<Row> removals;
+    const std::vector<Row> workerRows = m_usedWorkers.takeChanges(maxWorkerRowsPerWrite);
+    writes.insert(writes.end(), workerRows.begin(), workerRows.end());
+    std::vector<Row> removals = m_usedWorkers.takeRemovals();
     while (!m_removals.empty() && removals.size() < maxRemovalsPerWrite) {
         removals.push_back(std::move(m_removals.back()));
         m_removals.pop_back();
@@ -337,16 +332,26 @@
         onStored(batch);
         return;
     }
-    const bool isSent = m_ownership.commit(
-            std::move(writes), std::move(removals),
-            [this, alive = m_alive, term = m_term, batch = std::move(batch), now] {
-                if (!*alive || term != m_term)
-                    return;
-                m_commitTime.observe(BootClock::now() - now);
-                onStored(batch);
-            });
-    if (!isSent)
+    const bool isSent =
+            m_ownership.commit(std::move(writes), std::move(removals),
+                               [this, alive = m_alive, term = m_term, batch = std::move(batch),
+                                workerRows, now](bool isStored) {
+                                   if (!*alive || term != m_term)
+                                       return;
+                                   if (!isStored) {
+                                       // The rows are sent again; meanwhile the renewals keep the
+                                       // ownership.
+                                       m_usedWorkers.restoreChanges(workerRows);
+                                       m_storeNotBefore = BootClock::now() + refusedWritePause;
+                                       return;
+                                   }
+                                   m_commitTime.observe(BootClock::now() - now);
+                                   onStored(batch);
+                               });
+    if (!isSent) {
+        m_usedWorkers.restoreChanges(workerRows);
         log::debug("store_postponed", {});
+    }
 }
 
 void Owner::onStored(const jobs::Batch &batch)
@@ -371,7 +376,7 @@
             m_watches.erase(entry);
         }
         m_dispatcher.forgetWorker(id);
-        m_usedWorkersChanged = m_usedWorkers.erase(id.value()) > 0 || m_usedWorkersChanged;
+        m_usedWorkers.erase(id.value());
         log::info("worker_removed", {{"worker", id.value()}});
     }
     for (const JobId &id : m_dispatcher.takeExpired(now)) {
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -8,6 +8,7 @@
 #include "cell/ownership.h"
 #include "cell/ports.h"
 #include "cell/tablefollower.h"
+#include "cell/usedworkers.h"
 #include "jobs/dispatcher.h"
 #include "metrics/metrics.h"
 
@@ -46,8 +47,10 @@
 // Between polls of the feeds of jobs and workers that brought changes: members notify the owner of
 // jobs at once, and every worker's row changes with each of its heartbeats.
 constexpr Duration feedPause = milliseconds(100);
-constexpr size_t maxRemovalsPerWrite = 15;      // in one write, beside the other rows
-constexpr Duration expiryInterval = seconds(5); // between removals of old jobs
+constexpr size_t maxWorkerRowsPerWrite = 10;       // see UsedWorkers
+constexpr Duration refusedWritePause = seconds(1); // after a write that the store refuses
+constexpr size_t maxRemovalsPerWrite = 15;         // in one write, beside the other rows
+constexpr Duration expiryInterval = seconds(5);    // between removals of old jobs
 constexpr Duration predecessorTimeout = milliseconds(500);
 constexpr Duration predecessorInterval = milliseconds(300); // between queries to the last owner
 constexpr double workerClockMargin = 1.03;                  // a worker's clock is up to 2% slow
@@ -160,17 +163,17 @@
     std::unordered_map<std::string, std::shared_ptr<Watch>> m_watches;
     size_t m_pollConnections = 0; // of the watches
     bool m_arePollsExhausted = false;
-    std::unordered_map<std::string, std::string> m_usedWorkers; // id to address, as to be stored
+    UsedWorkers m_usedWorkers;
     std::shared_ptr<http::Client> m_predecessor;
     std::shared_ptr<http::Client> m_probe; // to the owner
     std::string m_probeAddress;
     std::vector<Row> m_removals; // progress of jobs that can no longer be queried
-    bool m_usedWorkersChanged = false;
     bool m_isActive = false;
     bool m_isDecisionDue = false;
     uint64_t m_term = 0; // rises with each change of the ownership; old callbacks compare it
     TimePoint m_termStart = {};
     TimePoint m_lastStore = {};
+    TimePoint m_storeNotBefore = {};
     TimePoint m_decideNotBefore = {}; // with a long backlog, decisions are made less often
     TimePoint m_nextExpiry = {};
     Timer m_decideTimer;
--- a/src/cell/ownerload.cpp
+++ b/src/cell/ownerload.cpp
@@ -206,23 +206,7 @@
 
 void Owner::onOwnerRows(const Page &page)
 {
-    m_usedWorkers.clear();
-    for (const Row &row : page.rows) {
-        if (row.key != workersKey)
-            continue;
-        const absl::StatusOr<Json::Value> value = parseJson(row.value);
-        if (!value.ok() || !value->isObject()) {
-            log::error("used_workers_unreadable", {{"revision", row.revision.value()}});
-            continue;
-        }
-        for (const std::string &id : value->getMemberNames()) {
-            const absl::StatusOr<std::string> address = stringMember(*value, id.c_str());
-            if (address.ok())
-                m_usedWorkers[id] = *address;
-            else
-                log::error("used_worker_unreadable", {{"worker", id}, {"error", address.status()}});
-        }
-    }
+    m_usedWorkers.load(page.rows);
     std::vector<std::string> parts;
     for (size_t number = 0; number < jobParts; ++number)
         parts.push_back(jobPartName(number));
@@ -265,7 +249,7 @@
     m_loadedProgress.clear();
     m_isActive = true;
     // Workers used by an earlier owner may still run its tasks even if they are no longer listed.
-    for (const auto &[id, address] : m_usedWorkers) {
+    for (const auto &[id, address] : m_usedWorkers.addresses()) {
         jobs::WorkerEntry entry;
         entry.id = WorkerId(id);
         entry.address = address;
@@ -275,7 +259,7 @@
     }
     log::info("jobs_loaded",
               {{"rows", rows.size()},
-               {"workers", m_usedWorkers.size()},
+               {"workers", m_usedWorkers.addresses().size()},
                {"epoch", m_ownership.epoch().value()},
                {"time", now - m_termStart}});
     m_recoveryTime.observe(now - m_termStart);
@@ -342,11 +326,7 @@
         }
         listed[row.key] = true;
         m_dispatcher.putWorker(*entry, now);
-        std::string &address = m_usedWorkers[row.key];
-        if (address != entry->address) {
-            address = entry->address;
-            m_usedWorkersChanged = true;
-        }
+        m_usedWorkers.set(row.key, entry->address);
         watch(entry->id);
     }
     if (isSnapshot) {
--- a/src/cell/ownership.cpp
+++ b/src/cell/ownership.cpp
@@ -379,6 +379,8 @@
                   {{"number", pending->row.number},
                    {"rows", pending->transaction.writes.size()},
                    {"error", result.status()}});
+        if (failureOf(result.status()) == Failure::ProtocolError)
+            withdrawRows(*pending);
         after(m_sendTimer, storeRetryPause, [this] { sendPending(); });
         return;
     }
@@ -406,7 +408,25 @@
     if (pending->isResignation)
         loseOwnership("resigned");
     if (pending->committed)
-        pending->committed();
+        pending->committed(true);
+}
+
+// The store refuses a write for its content, for instance a row that is too large. Sent unchanged
+// it would fail again until the ownership ends, so only the renewal is sent.
+void Ownership::withdrawRows(Pending &pending)
+{
+    if (pending.isResignation || !pending.committed)
+        return;
+    log::error("owner_write_refused",
+               {{"number", pending.row.number},
+                {"rows", pending.transaction.writes.size()},
+                {"removals", pending.transaction.removals.size()}});
+    std::erase_if(pending.transaction.writes, [](const Row &row) {
+        return row.key != ownerKey || (row.table != ownerTable && row.table != leaseTable);
+    });
+    pending.transaction.removals.clear();
+    const Committed committed = std::exchange(pending.committed, nullptr);
+    committed(false);
 }
 
 void Ownership::resign(std::function<void()> done)
@@ -447,7 +467,10 @@
     pending->row.holder.clear();
     pending->row.cores = cores;
     pending->isResignation = true;
-    pending->committed = std::move(done);
+    pending->committed = [done = std::move(done)](bool) {
+        if (done)
+            done();
+    };
     const std::string value = encodeOwner(pending->row);
     pending->transaction.expected = {{ownerTable, ownerPart, ownerKey, {}, m_revision}};
     pending->transaction.writes = {{ownerTable, ownerPart, ownerKey, value},
@@ -472,7 +495,7 @@
     m_events.lost(reason);
     m_isResigning = false;
     if (pending && pending->isResignation && pending->committed)
-        pending->committed();
+        pending->committed(true);
 }
 
 } // namespace cwl::cell
--- a/src/cell/ownership.h
+++ b/src/cell/ownership.h
@@ -82,7 +82,7 @@
 {
 public:
     using Timer = boost::asio::basic_waitable_timer<BootClock>;
-    using Committed = std::function<void()>;
+    using Committed = std::function<void(bool isStored)>;
 
     Ownership(boost::asio::io_context &context, TableStore &store, OwnershipOptions options,
               OwnershipEvents events);
@@ -101,7 +101,8 @@
     TimePoint lastResponse() const { return m_lastResponse; } // of the store, to the follower
 
     // Writes rows of the owner's part under the owner's condition. `committed` is called once they
-    // are stored, and never if the ownership is lost before. One write at a time; returns false
+    // are stored, or with false if the store refuses them for what they are; never if the ownership
+    // is lost before. One write at a time; returns false
     // while one is in flight.
     bool commit(std::vector<Row> writes, std::vector<Row> removals, Committed committed);
     bool isCommitting() const { return m_pending != nullptr; }
@@ -138,6 +139,7 @@
     void sendPending();
     void onWriteResult(const std::shared_ptr<Pending> &pending,
                        const absl::StatusOr<TransactionResult> &result);
+    static void withdrawRows(Pending &pending);
     void onCommitted(const std::shared_ptr<Pending> &pending, Revision revision);
     void writeResignation(Millicores cores, std::function<void()> done);
     void loseOwnership(const char *reason);
--- a/src/cell/tables.h
+++ b/src/cell/tables.h
@@ -20,7 +20,7 @@
 constexpr const char *membersTable = "members"; // addresses of the members
 constexpr const char *ownerPart = "owner";      // part of all rows that the owner writes
 constexpr const char *ownerKey = "owner";
-constexpr const char *workersKey = "workers";   // in the owner's table: workers that it has used
+constexpr const char *workersKey = "workers";   // in the owner's table: see UsedWorkers
 constexpr const char *cancelSuffix = "!cancel"; // follows the id in the key of a cancellation
 
 // Jobs are spread over parts by their id: a part executes its transactions one by one, so a slow
--- a/src/jobs/advice.cpp
+++ b/src/jobs/advice.cpp
@@ -176,8 +176,7 @@
                     const TaskAddress address = {job.spec.id, occurrence.number, before, index};
                     const auto run = task.worker->runs.find(address.text());
                     if (run != task.worker->runs.end())
-                        remaining = std::max(remaining,
-                                             remainingOf(run->second, job.spec.steps[before], now));
+                        remaining = std::max(remaining, remainingOf(run->second, now));
                 }
             }
             const AdvicePolicy &policy = *job.spec.queue.advice;
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -9,13 +9,14 @@
 
 namespace {
 
-// For each step, the longest chain of estimated work from its start to the end of the job. A step
+// For each step, the longest chain of predicted work from its start to the end of the job. A step
 // depends only on steps with lower numbers.
-std::vector<Duration> criticalPathsOf(const std::vector<Step> &steps)
+std::vector<Duration> criticalPathsOf(const std::vector<Step> &steps,
+                                      const std::vector<Duration> &predictedTimes)
 {
     std::vector<Duration> criticalPaths(steps.size());
     for (size_t number = steps.size(); number-- > 0;) {
-        criticalPaths[number] += steps[number].estimate;
+        criticalPaths[number] += predictedTimes[number];
         for (const uint32_t before : steps[number].after) {
             if (before < number)
                 criticalPaths[before] = std::max(criticalPaths[before], criticalPaths[number]);
@@ -37,6 +38,8 @@
 // A late job earns part of its value until this many times its target duration.
 constexpr int noValueFactor = 3;
 
+constexpr Duration predictionInterval = seconds(1); // between updates of the predicted times
+
 } // namespace
 
 Dispatcher::Dispatcher(const DispatcherSettings &settings)
@@ -165,12 +168,41 @@
     return job == m_jobs.end() ? nullptr : job->second.get();
 }
 
+void Dispatcher::setTargetTimes(const Job &job, Occurrence &occurrence)
+{
+    occurrence.targetTime = occurrence.dueAt + job.targetDuration;
+    occurrence.noValueAfter = occurrence.dueAt + noValueFactor * job.targetDuration;
+}
+
+void Dispatcher::predictTimes(Job &job)
+{
+    job.predictedTimes.clear();
+    for (const Step &step : job.spec.steps)
+        job.predictedTimes.push_back(m_runtimes.predict(job.spec.queue.name, step.estimate));
+    job.criticalPaths = criticalPathsOf(job.spec.steps, job.predictedTimes);
+    job.targetDuration = targetDurationOf(job.spec, job.criticalPaths);
+    for (Occurrence &occurrence : job.occurrences)
+        setTargetTimes(job, occurrence);
+}
+
+// Predictions of open jobs follow what the model has learned meanwhile.
+void Dispatcher::updatePredictions(TimePoint now)
+{
+    if (now < m_nextPrediction)
+        return;
+    m_nextPrediction = now + predictionInterval;
+    for (Job *job : m_open) {
+        if (!isFinal(job->state))
+            predictTimes(*job);
+    }
+}
+
 void Dispatcher::addOccurrence(Job &job, uint32_t number, TimePoint due)
 {
     Occurrence occurrence;
     occurrence.number = number;
-    occurrence.targetTime = due + job.targetDuration;
-    occurrence.noValueAfter = due + noValueFactor * job.targetDuration;
+    occurrence.dueAt = due;
+    setTargetTimes(job, occurrence);
     occurrence.steps.resize(job.spec.steps.size());
     for (size_t step = 0; step < occurrence.steps.size(); ++step) {
         occurrence.steps[step].tasks.resize(job.spec.steps[step].count);
@@ -208,8 +240,7 @@
     job->arrivedAt = now;
     job->knownAt = now;
     m_newestJobKnownAt = std::max(m_newestJobKnownAt, now);
-    job->criticalPaths = criticalPathsOf(job->spec.steps);
-    job->targetDuration = targetDurationOf(job->spec, job->criticalPaths);
+    predictTimes(*job);
     log::info("job_known",
               {{"job", job->spec.id.value()},
                {"queue", job->spec.queue.name},
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -23,6 +23,7 @@
 #pragma once
 
 #include "jobs/progress.h"
+#include "jobs/runtimemodel.h"
 #include "jobs/state.h"
 #include "jobs/types.h"
 
@@ -251,6 +252,9 @@
 
     // Section: jobs (dispatcher.cpp)
     Job *findJob(const JobId &id);
+    static void setTargetTimes(const Job &job, Occurrence &occurrence);
+    void predictTimes(Job &job);
+    void updatePredictions(TimePoint now);
     void addOccurrence(Job &job, uint32_t number, TimePoint due);
     void addDueOccurrences(Job &job, TimePoint now, UnixMilliseconds wallNow);
     Progress progressOf(const Job &job) const;
@@ -337,6 +341,8 @@
     std::unordered_map<std::string, double> m_allowedShare; // by queue, smoothed
     TimePoint m_newestJobKnownAt = {};                      // when this owner learned of it
     TimePoint m_ownershipConfirmedAt = {}; // send time of the last write that took effect
+    RuntimeModel m_runtimes; // outlives a change of the owner: it describes the queues
+    TimePoint m_nextPrediction = {};
     TimePoint m_poolsLoggedAt = {};
     Statistics m_statistics;
 };
--- a/src/jobs/fit.cpp
+++ b/src/jobs/fit.cpp
@@ -4,14 +4,15 @@
 
 namespace cwl::jobs {
 
-Duration remainingOf(const Run &run, const Step &spec, TimePoint now)
+Duration remainingOf(const Run &run, TimePoint now)
 {
+    const Duration predicted = run.job->predictedTimes[run.address.step];
     if (run.confirmedAt == TimePoint())
-        return spec.estimate;
+        return predicted;
     const Duration elapsed = now - run.confirmedAt;
     if (run.percent > 5 && run.percent < 100)
         return elapsed * (100 - run.percent) / run.percent;
-    return std::max(Duration::zero(), spec.estimate - elapsed);
+    return std::max(Duration::zero(), predicted - elapsed);
 }
 
 int64_t tasksThatFit(const Resources &available, const Step &step)
--- a/src/jobs/fit.h
+++ b/src/jobs/fit.h
@@ -9,8 +9,8 @@
 
 namespace cwl::jobs {
 
-// Expected remaining run time.
-Duration remainingOf(const Run &run, const Step &spec, TimePoint now);
+// Expected remaining run time of a run whose job is known.
+Duration remainingOf(const Run &run, TimePoint now);
 
 // Tasks of the step that fit into `available`.
 int64_t tasksThatFit(const Resources &available, const Step &step);
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -145,6 +145,7 @@
         if (!isFinal(job->state))
             addDueOccurrences(*job, now, wallNow);
     }
+    updatePredictions(now);
     updateServicePools(now);
     for (const Candidate &candidate : candidates(now))
         placeStep(candidate, orders, now);
@@ -361,6 +362,7 @@
     order.checkpoint = state.tasks[index].progress.checkpoint;
     order.ticket = ticket ? ticket->text : std::string();
     order.leaseUntilMs = leaseDeadline(worker, now);
+    run.isFromStart = order.checkpoint.empty();
     log::info("run_ordered",
               {{"task", order.task},
                {"attempt", attempt},
@@ -472,7 +474,7 @@
         const bool isStopping = run.phase == RunPhase::Stopping;
         if (spec.longRunning && !isStopping)
             continue;
-        ends.emplace_back(now + (isStopping ? expectedStopTime : remainingOf(run, spec, now)),
+        ends.emplace_back(now + (isStopping ? expectedStopTime : remainingOf(run, now)),
                           run.resources);
     }
     std::sort(ends.begin(), ends.end(),
--- a/src/jobs/preemption.cpp
+++ b/src/jobs/preemption.cpp
@@ -63,7 +63,7 @@
         return false;
     const Occurrence &occurrence = run.job->occurrences[run.address.occurrence];
     return priority == mostUrgentPriority || now > occurrence.noValueAfter
-            || now + remainingOf(run, spec, now) + preemptionDelay < occurrence.targetTime;
+            || now + remainingOf(run, now) + preemptionDelay < occurrence.targetTime;
 }
 
 std::vector<Run *> Dispatcher::preemptibleRuns(Worker &worker, int64_t priority,
@@ -214,8 +214,8 @@
         if (!run.job || run.phase != RunPhase::Running)
             continue;
         const Step &spec = stepSpec(*run.job, run.address);
-        const bool endsInTime = !isShort
-                || now + remainingOf(run, spec, now) + milliseconds(100) < worker.drainDeadline;
+        const bool endsInTime =
+                !isShort || now + remainingOf(run, now) + milliseconds(100) < worker.drainDeadline;
         const bool isLastMoment = isShort && now + drainMargin >= worker.drainDeadline;
         const bool moves = spec.longRunning || (!endsInTime && (spec.checkpoints || isLastMoment));
         if (!moves)
--- a/src/jobs/runs.cpp
+++ b/src/jobs/runs.cpp
@@ -215,13 +215,14 @@
         markDirty(*job);
     }
     if (completion.kind == EndKind::Done) {
-        const Duration estimate = stepSpec(*job, *address).estimate;
-        if (isCurrent && ended.confirmedAt != TimePoint() && estimate > Duration::zero()
-            && task->progress.checkpoint.empty()) {
-            const double ratio =
-                    std::clamp(double((now - ended.confirmedAt).count()) / double(estimate.count()),
-                               minRunTimeRatio, maxRunTimeRatio);
+        const Duration predicted = job->predictedTimes[address->step];
+        if (isCurrent && ended.confirmedAt != TimePoint() && predicted > Duration::zero()
+            && ended.isFromStart && ended.pace == 100) {
+            const Duration time = now - ended.confirmedAt;
+            const double ratio = std::clamp(double(time.count()) / double(predicted.count()),
+                                            minRunTimeRatio, maxRunTimeRatio);
             worker.slowness += slownessSmoothing * (ratio - worker.slowness);
+            m_runtimes.add(job->spec.queue.name, stepSpec(*job, *address).estimate, time);
         }
         worker.consecutiveFailures = 0;
         markTaskDone(*job, *address, now);
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -37,6 +37,7 @@
     TimePoint confirmedAt = {};
     TimePoint stopSentAt = {};  // last stop
     TimePoint stopAckedAt = {}; // zero: no stop acknowledged yet
+    bool isFromStart = false;   // without a checkpoint
     int64_t percent = 0;
     TimePoint percentChangedAt = {};
     int64_t metric = 0;
@@ -89,6 +90,7 @@
     uint32_t number = 0;
     std::vector<StepState> steps = {};
     bool isDone = false;
+    TimePoint dueAt = {};
     TimePoint targetTime = {};
     TimePoint noValueAfter = {}; // completing it after this earns nothing
 };
@@ -106,9 +108,10 @@
     uint32_t occurrencesDone = 0;
     uint32_t activeRuns = 0;
     TimePoint arrivedAt = {};
-    TimePoint knownAt = {};       // when this owner learned of it
-    Duration targetDuration = {}; // of each occurrence, from when it is due
-    // Of each step: the longest chain of estimated work from its start to the end of the job.
+    TimePoint knownAt = {};                    // when this owner learned of it
+    Duration targetDuration = {};              // of each occurrence, from when it is due
+    std::vector<Duration> predictedTimes = {}; // of one task of each step
+    // Of each step: the longest chain of predicted work from its start to the end of the job.
     std::vector<Duration> criticalPaths = {};
     TimePoint finishedAt = {};
 };
--- a/tests/cell/memorystore.cpp
+++ b/tests/cell/memorystore.cpp
@@ -38,6 +38,15 @@
         answer([callback = std::move(callback)] { callback(unavailable()); });
         return;
     }
+    const bool isTooLarge =
+            std::any_of(transaction.writes.begin(), transaction.writes.end(),
+                        [this](const Row &row) { return row.value.size() > maxRowBytes; });
+    if (isTooLarge) {
+        answer([callback = std::move(callback)] {
+            callback(makeError(Failure::ProtocolError, "a value is too long"));
+        });
+        return;
+    }
     TransactionResult result;
     result.isCommitted = true;
     for (const Row &expected : transaction.expected) {
--- a/tests/cell/memorystore.h
+++ b/tests/cell/memorystore.h
@@ -29,8 +29,9 @@
     // Value of a row; empty if there is none.
     std::string value(const std::string &table, const std::string &part,
                       const std::string &key) const;
-    bool isDown = false;       // every call fails with StoreUnavailable
-    bool isFeedSilent = false; // polls for changes that wait are not answered
+    bool isDown = false;           // every call fails with StoreUnavailable
+    size_t maxRowBytes = SIZE_MAX; // a transaction with a larger value fails with ProtocolError
+    bool isFeedSilent = false;     // polls for changes that wait are not answered
 
 private:
     using Key = std::tuple<std::string, std::string, std::string>; // table, part, key
--- a/tests/cell/ownership_test.cpp
+++ b/tests/cell/ownership_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(smallOwnerYieldsToALargeMember);
     CPPUNIT_TEST(ownerDoesNotYieldToAnEqualMember);
     CPPUNIT_TEST(pausedOwnerConfirmsItsOwnershipBeforeItActs);
+    CPPUNIT_TEST(refusedRowsDoNotEndTheOwnership);
     CPPUNIT_TEST_SUITE_END();
 
     boost::asio::io_context m_context{1};
@@ -118,6 +119,28 @@
         CPPUNIT_ASSERT(owner.isOwner());
     }
 
+    // Guards against a row that the store refuses and that ends the ownership of one member after
+    // the other: with 1,851 workers their list outgrew a row, and the owner changed every 1.5 s.
+    void refusedRowsDoNotEndTheOwnership()
+    {
+        Ownership &owner = add("owner", large);
+        runUntil("it owns the cell", [&] { return owner.isOwner(); });
+        m_store.maxRowBytes = 1000;
+        bool isRefused = false;
+        CPPUNIT_ASSERT(owner.commit({{"progress", ownerPart, "5c0e", std::string(2000, 'x')}}, {},
+                                    [&](bool isStored) { isRefused = !isStored; }));
+        runUntil("the refusal", [&] { return isRefused; });
+        bool isStored = false;
+        runUntil("a later write is stored", [&] {
+            owner.commit({{"progress", ownerPart, "5c0f", "x"}}, {},
+                         [&](bool stored) { isStored = stored; });
+            return isStored;
+        });
+        CPPUNIT_ASSERT(owner.isOwner());
+        CPPUNIT_ASSERT_EQUAL(int64_t(1), owner.epoch().value());
+        CPPUNIT_ASSERT_EQUAL(std::string(), m_store.value("progress", ownerPart, "5c0e"));
+    }
+
     // Guards against an owner that was paused, in which time another member may have taken over,
     // and that sends orders before it has heard from the store.
     void pausedOwnerConfirmsItsOwnershipBeforeItActs()
--- a/tests/usersplatform/tablestore.cpp
+++ b/tests/usersplatform/tablestore.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr size_t maxRowBytes = 65536; // of a value in base64
+
 std::string unescape(const std::string &text)
 {
     std::string plain;
@@ -114,6 +116,10 @@
     const auto body = parseJson(request.body);
     if (!body.ok())
         return answer(respond, 400, {});
+    for (const Json::Value &row : (*body)["write"]) {
+        if (row["value"].asString().size() > maxRowBytes)
+            return answer(respond, 400, {});
+    }
     const auto keyOf = [](const Json::Value &row) {
         return Key(row["table"].asString(), row["part"].asString(), row["key"].asString());
     };
