--- a/src/cell/acceptance.cpp
+++ b/src/cell/acceptance.cpp
@@ -23,7 +23,10 @@
 void Acceptance::put(Row row, TimePoint deadline, Callback callback)
 {
     const TimePoint now = BootClock::now();
-    if (m_pendingCount >= maxPendingEntries || isStoreUnresponsive(now)) {
+    const bool isUnresponsive = isStoreUnresponsive(now);
+    if (isUnresponsive && storeUnresponsive)
+        storeUnresponsive();
+    if (m_pendingCount >= maxPendingEntries || isUnresponsive) {
         callback(StoreOutcome::NotStored);
         return;
     }
--- a/src/cell/acceptance.h
+++ b/src/cell/acceptance.h
@@ -53,6 +53,9 @@
 
     Acceptance(boost::asio::io_context &context, TableStore &store);
 
+    // Called when an entry is rejected because the store is unresponsive.
+    std::function<void()> storeUnresponsive;
+
     // `row` is to be stored in its part unless its key exists. Calls back by `deadline`, and at
     // once without sending anything if the store is unresponsive.
     void put(Row row, TimePoint deadline, Callback callback);
--- a/src/cell/configfollower.h
+++ b/src/cell/configfollower.h
@@ -35,6 +35,7 @@
     ~ConfigFollower();
 
     void start();
+    void expedite() { m_follower.expedite(); } // the store responds again
 
     const ConfigPointer &config() const { return m_config; } // null: none yet
     const jobs::Queue *findQueue(const std::string &host, const std::string &path) const;
--- a/src/cell/entry.cpp
+++ b/src/cell/entry.cpp
@@ -24,6 +24,13 @@
                    if (configChanged)
                        configChanged(config);
                })
+    , m_probe(context, store,
+              [this] {
+                  m_acceptance.noteStoreResponse(BootClock::now());
+                  m_config.expedite();
+                  if (storeRegained)
+                      storeRegained();
+              })
     , m_accepted(metrics.counter("cwl_cell_jobs_accepted_total", "Jobs stored."))
     , m_refused(metrics.counter("cwl_cell_jobs_refused_total",
                                 "Jobs rejected, certainly not stored."))
@@ -37,6 +44,7 @@
 
 void Entry::start()
 {
+    m_acceptance.storeUnresponsive = [this] { m_probe.start(); };
     m_config.start();
 }
 
@@ -111,9 +119,12 @@
                });
 }
 
-Duration Entry::retryAfter() const
+Duration Entry::retryAfter(TimePoint deadline) const
 {
-    return std::clamp(m_acceptance.outageDuration(BootClock::now()), minRetryAfter, maxRetryAfter);
+    const TimePoint now = BootClock::now();
+    const Duration longest = std::clamp<Duration>((deadline - now) / triesBeforeDeadline,
+                                                  minRetryAfter, maxRetryAfter);
+    return std::clamp(m_acceptance.outageDuration(now), minRetryAfter, longest);
 }
 
 void Entry::putLocally(Row row, TimePoint deadline, std::function<void(StoreOutcome)> callback)
--- a/src/cell/entry.h
+++ b/src/cell/entry.h
@@ -8,6 +8,7 @@
 #include "cell/ownership.h"
 #include "cell/ports.h"
 #include "cell/relay.h"
+#include "cell/storeprobe.h"
 #include "cell/tables.h"
 #include "http/client.h"
 #include "metrics/metrics.h"
@@ -28,9 +29,11 @@
 // Each member opens so many to the owner, which has to accept those of all members.
 constexpr size_t maxOwnerConnections = 2;
 constexpr Duration storeReadTimeout = milliseconds(900);
-// Retry-After for rejected clients. An outage is expected to last as long again as it has lasted.
+// Retry-After for rejected clients. An outage is expected to last as long again as it has lasted,
+// but a client has to come back several times before it gives up to find the end of the outage.
 constexpr Duration minRetryAfter = seconds(1); // the smallest value that HTTP allows
 constexpr Duration maxRetryAfter = seconds(3);
+constexpr int triesBeforeDeadline = 3;
 constexpr Duration maxWaitingCountAge = milliseconds(1500); // for reuse of a cached count
 constexpr size_t maxJobBytes = 45000; // stored form; a row of the store holds 65,536 in base64
 
@@ -74,6 +77,8 @@
 
     void start(); // on the traffic thread
 
+    // Called when the store responds again after it did not.
+    std::function<void()> storeRegained;
     // Called with each configuration that comes into force.
     std::function<void(const ConfigFollower::ConfigPointer &config)> configChanged;
 
@@ -82,6 +87,7 @@
     void setOwner(const OwnerRow &owner);
     void setPeers(std::vector<std::string> addresses) { m_relay.setPeers(std::move(addresses)); }
     void noteStoreResponse(TimePoint at) { m_acceptance.noteStoreResponse(at); }
+    void noteStoreFailure() { m_probe.start(); }
 
     // Section: callers
 
@@ -93,7 +99,8 @@
     void countWaiting(const std::string &queue, TimePoint deadline,
                       std::function<void(CountResult)> callback);
 
-    Duration retryAfter() const; // for a client that is rejected now
+    // For a client that is rejected now and waits until `deadline` in all.
+    Duration retryAfter(TimePoint deadline) const;
 
     // Section: other members
 
@@ -120,6 +127,7 @@
     Acceptance m_acceptance;
     Relay m_relay;
     ConfigFollower m_config;
+    StoreProbe m_probe;
     OwnerRow m_owner = {};
     std::shared_ptr<http::Client> m_ownerClient;
     std::string m_ownerAddress;
--- a/src/cell/member.cpp
+++ b/src/cell/member.cpp
@@ -99,6 +99,12 @@
     m_owner->storeResponded = [this](TimePoint at) {
         asio::post(m_node.trafficContext(), [this, at] { m_entry->noteStoreResponse(at); });
     };
+    m_owner->storeFailed = [this] {
+        asio::post(m_node.trafficContext(), [this] { m_entry->noteStoreFailure(); });
+    };
+    m_entry->storeRegained = [this] {
+        asio::post(m_node.controlContext(), [this] { m_owner->onStoreRegained(); });
+    };
     addRoutes(node);
     node.addReadyGate("config", [this] { return m_owner->hasConfig(); });
     node.addReadyGate("store", [this] { return m_owner->canReachStore(BootClock::now()); });
--- a/src/cell/owner.cpp
+++ b/src/cell/owner.cpp
@@ -37,6 +37,11 @@
                            [this](TimePoint at) {
                                if (storeResponded)
                                    storeResponded(at);
+                           },
+                   .storeFailed =
+                           [this] {
+                               if (storeFailed)
+                                   storeFailed();
                            }})
     , m_dispatcher(options.dispatcher)
     , m_advice(context, advice)
@@ -89,6 +94,15 @@
     m_ownership.resign(std::move(done));
 }
 
+void Owner::onStoreRegained()
+{
+    m_ownership.expedite();
+    for (const std::unique_ptr<TableFollower> *follower : {&m_jobsFollower, &m_workersFollower}) {
+        if (*follower)
+            (*follower)->expedite();
+    }
+}
+
 // Section: queries
 
 std::optional<jobs::JobState> Owner::jobState(const JobId &id) const
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -82,6 +82,8 @@
     // Called with the addresses of the other members, and with each response of the store.
     std::function<void(const std::vector<std::string> &addresses)> membersChanged;
     std::function<void(TimePoint at)> storeResponded;
+    std::function<void()> storeFailed; // it did not respond
+    void onStoreRegained();            // it responds again
 
     // A job or a cancellation that a member has just stored; arrives before the store's feed
     // delivers it.
--- a/src/cell/ownership.cpp
+++ b/src/cell/ownership.cpp
@@ -77,14 +77,17 @@
 {
     m_store.read({.table = leaseTable, .part = ownerPart, .from = ownerKey},
                  BootClock::now() + storeCallTimeout,
-                 [this, alive = m_alive](const absl::StatusOr<Page> &page) {
-                     if (!*alive)
+                 [this, alive = m_alive, poll = ++m_poll](const absl::StatusOr<Page> &page) {
+                     if (!*alive || poll != m_poll)
                          return;
                      if (!page.ok()) {
                          onFollowFailed(page.status());
                          return;
                      }
                      m_lastResponse = BootClock::now();
+                     // The owner could not renew either while the store did not respond.
+                     if (m_isStoreUnreachable)
+                         m_leaseChangedAt = m_lastResponse;
                      if (!page->rows.empty())
                          onLease(page->rows.front());
                      m_leaseRevision = page->revision;
@@ -99,8 +102,8 @@
     const TimePoint now = BootClock::now();
     m_store.changes(leaseTable, m_leaseRevision, leasePollWait,
                     now + leasePollWait + leasePollMargin,
-                    [this, alive = m_alive](const absl::StatusOr<Page> &page) {
-                        if (!*alive)
+                    [this, alive = m_alive, poll = ++m_poll](const absl::StatusOr<Page> &page) {
+                        if (!*alive || poll != m_poll)
                             return;
                         if (!page.ok()) {
                             onFollowFailed(page.status());
@@ -121,11 +124,23 @@
                     });
 }
 
+void Ownership::expedite()
+{
+    if (m_pending && BootClock::now() - m_pending->sentAt > usualWriteTime) {
+        m_sendTimer.cancel();
+        sendPending();
+    }
+    m_followTimer.cancel();
+    readLease();
+}
+
 void Ownership::onFollowFailed(const absl::Status &status)
 {
     const bool isHistoryLost = failureOf(status) == Failure::HistoryLost;
     if (!isHistoryLost && !std::exchange(m_isStoreUnreachable, true))
         log::warn("store_lost", {{"table", leaseTable}, {"error", status}});
+    if (!isHistoryLost && m_events.storeFailed)
+        m_events.storeFailed();
     after(m_followTimer, isHistoryLost ? Duration::zero() : storeRetryPause,
           [this] { readLease(); });
 }
@@ -379,6 +394,8 @@
                   {{"number", pending->row.number},
                    {"rows", pending->transaction.writes.size()},
                    {"error", result.status()}});
+        if (m_events.storeFailed)
+            m_events.storeFailed();
         if (failureOf(result.status()) == Failure::ProtocolError)
             withdrawRows(*pending);
         after(m_sendTimer, storeRetryPause, [this] { sendPending(); });
--- a/src/cell/ownership.h
+++ b/src/cell/ownership.h
@@ -55,6 +55,7 @@
 constexpr Duration smallMemberPollPause = milliseconds(300);
 constexpr Duration storeCallTimeout = milliseconds(1500);
 constexpr Duration storeRetryPause = milliseconds(150);
+constexpr Duration usualWriteTime = milliseconds(300); // a write older than this may be lost
 // An owner that has not reached the store for this long starts no runs and renews no leases.
 // Longer than the outages that running work must survive.
 constexpr Duration maxStoreOutage = seconds(12);
@@ -76,6 +77,7 @@
     std::function<void(const OwnerRow &owner)> changed; // the holder, as far as is known
     std::function<void(TimePoint sentAt)> confirmed;    // a write of this owner took effect
     std::function<void(TimePoint at)> storeResponded;   // the store responded to a poll
+    std::function<void()> storeFailed;                  // it did not respond to a poll or a write
 };
 
 class Ownership
@@ -119,6 +121,9 @@
     // A worker or a member has seen a newer owner.
     void supersede(const char *reason);
 
+    // The store responds again: sends a write and a poll again that were sent before.
+    void expedite();
+
     // The process that held `epoch` no longer runs.
     void noteOwnerEnded(Epoch epoch);
 
@@ -170,6 +175,7 @@
     bool m_isResigning = false;
     bool m_isStoreUnreachable = false;
     bool m_isStopped = false;
+    uint64_t m_poll = 0; // number of the current one; responses to earlier ones are ignored
     std::shared_ptr<Pending> m_pending;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/cell/tablefollower.cpp
+++ b/src/cell/tablefollower.cpp
@@ -101,11 +101,21 @@
     readAll();
 }
 
+void TableFollower::expedite()
+{
+    m_timer.cancel();
+    if (m_seenRevision.value() > 0 && !m_isStoreUnreachable)
+        follow();
+    else
+        readAll();
+}
+
 void TableFollower::readAll()
 {
     readParts(m_store, m_options.table, m_options.parts,
-              [this, alive = m_alive, sentAt = BootClock::now()](absl::StatusOr<Page> page) {
-                  if (!*alive)
+              [this, alive = m_alive, poll = ++m_poll,
+               sentAt = BootClock::now()](absl::StatusOr<Page> page) {
+                  if (!*alive || poll != m_poll)
                       return;
                   if (!page.ok()) {
                       onFailure(page.status());
@@ -125,8 +135,8 @@
     const TimePoint sentAt = BootClock::now();
     const TimePoint deadline = sentAt + m_options.wait + followResponseMargin;
     m_store.changes(m_options.table, m_seenRevision, m_options.wait, deadline,
-                    [this, alive = m_alive, sentAt](absl::StatusOr<Page> page) {
-                        if (!*alive)
+                    [this, alive = m_alive, poll = ++m_poll, sentAt](absl::StatusOr<Page> page) {
+                        if (!*alive || poll != m_poll)
                             return;
                         if (!page.ok()) {
                             onFailure(page.status());
--- a/src/cell/tablefollower.h
+++ b/src/cell/tablefollower.h
@@ -47,6 +47,8 @@
     ~TableFollower();
 
     void start();
+    // Polls at once if the poll in flight was sent before the store responded again.
+    void expedite();
 
     TimePoint lastResponse() const { return m_lastResponse; } // of the store; zero: none yet
     // The store has passed on every change up to this time; zero: none yet.
@@ -66,6 +68,7 @@
     TimePoint m_lastResponse = {};
     TimePoint m_confirmedAt = {};
     bool m_isStoreUnreachable = false;
+    uint64_t m_poll = 0; // number of the current one; responses to earlier ones are ignored
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/jobs/advice.cpp
+++ b/src/jobs/advice.cpp
@@ -21,6 +21,7 @@
 // Gangs that query at the same time should not all query the same workers: weight of a hash of the
 // job and the worker.
 constexpr double spreadWeight = 2.0;
+constexpr int64_t usualWorkers = 30; // named by one query
 constexpr int adviceRetryFactor = 3; // retry delay as a multiple of the query's expected time
 constexpr Duration adviceRetryDelay = milliseconds(100);
 constexpr Duration adviceLeadMargin = milliseconds(60); // before the step is expected to be ready
@@ -80,7 +81,7 @@
         const bool isAllowed = response != state.advice.responses.end() && response->second;
         // A ticket that expires before the response arrives is requested again.
         if ((response != state.advice.responses.end() && !isAllowed)
-            || findTicket(state, *worker, now + policy.decision))
+            || findTicket(state, *worker, now + policy.decision + usualWorkers * policy.perWorker))
             continue;
         int64_t fits = 0;
         if (step.gang)
@@ -202,8 +203,10 @@
     step->advice.retryAt = now + adviceRetryFactor * query.expected;
     const Duration validity =
             job->spec.queue.advice ? job->spec.queue.advice->validity : Duration::zero();
+    // All members need tickets at one moment, so those of a gang are renewed before they expire.
     if (stepSpec(*job, query.step).gang)
-        step->advice.retryAt = std::min(step->advice.retryAt, now + validity - query.expected / 2);
+        step->advice.retryAt =
+                std::min(step->advice.retryAt, now + validity - ticketMargin - query.expected);
     size_t newResponses = 0;
     size_t newAllowed = 0;
     for (const WorkerId &id : query.workers) {
--- a/tests/cell/memorystore.cpp
+++ b/tests/cell/memorystore.cpp
@@ -34,6 +34,8 @@
 
 void MemoryStore::commit(const Transaction &transaction, TimePoint, TransactionCallback callback)
 {
+    if (isSilent)
+        return;
     if (isDown) {
         answer([callback = std::move(callback)] { callback(unavailable()); });
         return;
@@ -72,6 +74,8 @@
 
 void MemoryStore::read(const Range &range, TimePoint, PageCallback callback)
 {
+    if (isSilent)
+        return;
     if (isDown) {
         answer([callback = std::move(callback)] { callback(unavailable()); });
         return;
@@ -100,6 +104,8 @@
 void MemoryStore::changes(const std::string &table, Revision after, Duration wait,
                           TimePoint deadline, PageCallback callback)
 {
+    if (isSilent)
+        return;
     if (isDown) {
         answer([callback = std::move(callback)] { callback(unavailable()); });
         return;
--- a/tests/cell/memorystore.h
+++ b/tests/cell/memorystore.h
@@ -30,6 +30,7 @@
     std::string value(const std::string &table, const std::string &part,
                       const std::string &key) const;
     bool isDown = false;           // every call fails with StoreUnavailable
+    bool isSilent = false;         // calls are not answered; nothing is done
     size_t maxRowBytes = SIZE_MAX; // a transaction with a larger value fails with ProtocolError
     bool isFeedSilent = false;     // polls for changes that wait are not answered
 
