Store rows of one part through one member while the store is slow

A part executes 6 transactions a second then; 40 members wrote each part on their own, attempts timed out and were sent again, and most calls got 504 or 429. Change: while writes take over 60 ms, all members send the rows of a part to the same member, which batches them. Attempts that fail count as slow ones. An unknown outcome is reported after 2.5 s, not 0.9 s, while the store responds to others. Test: relay_test.

--- a/src/cell/acceptance.cpp
+++ b/src/cell/acceptance.cpp
@@ -120,10 +120,13 @@
     if (!hasResponse) {
         m_lastFailure = now;
         m_attemptTimeout = std::min(maxAttemptTimeout, 2 * m_attemptTimeout);
+        m_responseTime = std::max({m_responseTime, failedAttemptTime, now - sentAt});
         return;
     }
     m_lastResponse = now;
-    m_responseTime += (now - sentAt - m_responseTime) / 4;
+    // Follows a slower store at once: attempts that time out too early are executed all the same.
+    const Duration time = now - sentAt;
+    m_responseTime += (time - m_responseTime) / (time > m_responseTime ? 2 : 4);
     m_attemptTimeout = std::clamp<Duration>(attemptTimeoutFactor * m_responseTime,
                                             minAttemptTimeout, maxAttemptTimeout);
 }
--- a/src/cell/acceptance.h
+++ b/src/cell/acceptance.h
@@ -27,12 +27,16 @@
 constexpr size_t maxPendingEntries = 2000; // further ones are rejected
 // Timeout of one attempt: starts at the minimum and doubles with each attempt that times out.
 constexpr Duration minAttemptTimeout = milliseconds(330);
-constexpr Duration maxAttemptTimeout = milliseconds(880);
+constexpr Duration maxAttemptTimeout = milliseconds(1500);
+// Counted for an attempt that the store rejects or does not answer: it is overloaded or
+// unreachable.
+constexpr Duration failedAttemptTime = milliseconds(200);
 constexpr int attemptTimeoutFactor = 4;                 // times the smoothed response time
 constexpr Duration acceptRetryPause = milliseconds(60); // between attempts
 constexpr Duration rejectTimeout = milliseconds(300);   // after which a certain failure is reported
-constexpr Duration unknownOutcomeTimeout =
-        milliseconds(900); // after which an unknown outcome is reported
+// After which an unknown outcome is reported while the store responds to others. A client does not
+// repeat a request after such an answer, and a slow store takes up to a second for a write.
+constexpr Duration unknownOutcomeTimeout = milliseconds(2500);
 // The store is treated as unresponsive when it has not responded for this long. Polls for changes,
 // which every member makes continuously, take up to 400 ms plus the network delay.
 constexpr Duration storeResponseLimit = milliseconds(900);
@@ -61,6 +65,9 @@
     void put(Row row, TimePoint deadline, Callback callback);
     // The store has responded to another part of this process.
     void noteStoreResponse(TimePoint at) { m_lastResponse = std::max(m_lastResponse, at); }
+    // A write by another member on behalf of this one was sent at `sentAt` and has taken effect.
+    void noteRelayedWrite(TimePoint sentAt) { recordAttempt(sentAt, true); }
+    Duration responseTime() const { return m_responseTime; } // of writes, smoothed
     size_t waiting() const { return m_pendingCount; }
     // How long the store has been unresponsive; zero while it responds.
     Duration outageDuration(TimePoint now) const;
--- a/src/cell/entry.cpp
+++ b/src/cell/entry.cpp
@@ -12,10 +12,11 @@
 namespace cwl::cell {
 
 Entry::Entry(boost::asio::io_context &context, TableStore &store, const RowReader &reader,
-             std::string member, LocalOwner local, metrics::Registry &metrics)
+             std::string member, std::string address, LocalOwner local, metrics::Registry &metrics)
     : m_context(context)
     , m_store(store)
     , m_member(std::move(member))
+    , m_address(std::move(address))
     , m_local(std::move(local))
     , m_acceptance(context, store)
     , m_relay(context)
@@ -37,6 +38,8 @@
     , m_unknown(metrics.counter("cwl_cell_jobs_unknown_total", "Jobs that may be stored."))
     , m_relayed(metrics.counter("cwl_cell_rows_relayed_total",
                                 "Rows relayed to another member for storage."))
+    , m_collected(metrics.counter("cwl_cell_rows_collected_total",
+                                  "Rows sent to the collector of their part."))
     , m_acceptTime(metrics.histogram("cwl_cell_accept_seconds",
                                      "Time from receipt of a job to its response."))
 {
@@ -85,18 +88,49 @@
         callback(Answer::TooLarge);
         return;
     }
-    storeRow(std::move(row), deadline,
-             [this, id, startedAt, queue = spec.queue.name,
-              callback = std::move(callback)](StoreOutcome stored) {
-                 const Duration time = BootClock::now() - startedAt;
-                 m_acceptTime.observe(time);
-                 log::info("job_submitted",
-                           {{"job", id.value()},
-                            {"queue", queue},
-                            {"stored", storeOutcomeName(stored)},
-                            {"time", time}});
-                 callback(countOutcome(stored));
-             });
+    const std::string collector = m_acceptance.responseTime() > slowStoreTime
+            ? m_relay.collectorOf(row.part, m_address)
+            : std::string();
+    collectRow(std::move(row), collector, deadline,
+               [this, id, startedAt, queue = spec.queue.name,
+                callback = std::move(callback)](StoreOutcome stored) {
+                   const Duration time = BootClock::now() - startedAt;
+                   m_acceptTime.observe(time);
+                   log::info("job_submitted",
+                             {{"job", id.value()},
+                              {"queue", queue},
+                              {"stored", storeOutcomeName(stored)},
+                              {"time", time}});
+                   callback(countOutcome(stored));
+               });
+}
+
+// Stores a row through its collector; here if there is none, or if it has not stored the row.
+void Entry::collectRow(Row row, const std::string &collector, TimePoint deadline,
+                       std::function<void(StoreOutcome)> callback)
+{
+    if (collector.empty()) {
+        storeRow(std::move(row), deadline, std::move(callback));
+        return;
+    }
+    m_collected.add();
+    m_relay.putThrough(collector, row, deadline - responseMargin,
+                       [this, row, deadline, sentAt = BootClock::now(),
+                        callback = std::move(callback)](StoreOutcome collected) {
+                           if (collected == StoreOutcome::Stored
+                               || collected == StoreOutcome::AlreadyStored) {
+                               m_acceptance.noteRelayedWrite(sentAt);
+                               callback(collected);
+                               return;
+                           }
+                           // A row that the collector may still store is not sent twice: a store is
+                           // slow because its parts have more transactions than they execute.
+                           if (collected == StoreOutcome::Unknown
+                               || BootClock::now() >= deadline - responseMargin)
+                               callback(collected);
+                           else
+                               storeRow(row, deadline, callback);
+                       });
 }
 
 // Stores a row here or, if the store does not serve this instance, through another member.
@@ -137,12 +171,11 @@
                      });
 }
 
-void Entry::storeFor(const std::string &key, std::string value,
+void Entry::storeFor(const std::string &key, std::string value, TimePoint deadline,
                      std::function<void(StoreOutcome)> callback)
 {
     const JobId id(key.substr(0, key.find('!')));
-    putLocally({jobsTable, jobPart(id), key, std::move(value)}, BootClock::now() + relayTimeout,
-               std::move(callback));
+    putLocally({jobsTable, jobPart(id), key, std::move(value)}, deadline, std::move(callback));
 }
 
 Answer Entry::countOutcome(StoreOutcome stored)
--- a/src/cell/entry.h
+++ b/src/cell/entry.h
@@ -35,6 +35,9 @@
 constexpr Duration maxRetryAfter = seconds(3);
 constexpr int triesBeforeDeadline = 3;
 constexpr Duration maxWaitingCountAge = milliseconds(1500); // for reuse of a cached count
+// While writes take longer, the rows of one part go through one member, which stores them together:
+// a part of the store executes its transactions one by one.
+constexpr Duration slowStoreTime = milliseconds(60);
 constexpr size_t maxJobBytes = 45000; // stored form; a row of the store holds 65,536 in base64
 
 enum class Answer {
@@ -72,8 +75,9 @@
 class Entry
 {
 public:
+    // `address` is where this member serves others, "ip:port".
     Entry(boost::asio::io_context &context, TableStore &store, const RowReader &reader,
-          std::string member, LocalOwner local, metrics::Registry &metrics);
+          std::string member, std::string address, LocalOwner local, metrics::Registry &metrics);
 
     void start(); // on the traffic thread
 
@@ -104,8 +108,8 @@
 
     // Section: other members
 
-    // Stores the row of a job or of a cancellation for a member that cannot reach the store.
-    void storeFor(const std::string &key, std::string value,
+    // Stores the row of a job or of a cancellation for another member, by `deadline`.
+    void storeFor(const std::string &key, std::string value, TimePoint deadline,
                   std::function<void(StoreOutcome)> callback);
 
 private:
@@ -115,6 +119,8 @@
     void queryOwner(const std::string &path, const std::string &query, TimePoint deadline,
                     std::function<void(std::optional<Json::Value>)> callback);
     Answer countOutcome(StoreOutcome stored);
+    void collectRow(Row row, const std::string &collector, TimePoint deadline,
+                    std::function<void(StoreOutcome)> callback);
     void storeRow(Row row, TimePoint deadline, std::function<void(StoreOutcome)> callback);
     void putLocally(Row row, TimePoint deadline, std::function<void(StoreOutcome)> callback);
     void notifyOwner(const Row &row);
@@ -123,6 +129,7 @@
     boost::asio::io_context &m_context;
     TableStore &m_store;
     const std::string m_member;
+    const std::string m_address;
     const LocalOwner m_local;
     Acceptance m_acceptance;
     Relay m_relay;
@@ -137,6 +144,7 @@
     metrics::Counter &m_refused;
     metrics::Counter &m_unknown;
     metrics::Counter &m_relayed;
+    metrics::Counter &m_collected;
     metrics::Histogram &m_acceptTime;
 };
 
--- a/src/cell/member.cpp
+++ b/src/cell/member.cpp
@@ -6,10 +6,13 @@
 #include "cell/connectionbudget.h"
 #include "node/log.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace cwl::cell {
@@ -33,11 +36,24 @@
     return response;
 }
 
-// The value of `key` in a query string such as "id=5c0e".
+// The value of `key` in a query string such as "key=5c0e&limitMs=450".
 std::string queryValue(const std::string &query, const std::string &key)
 {
-    const std::string start = key + "=";
-    return query.rfind(start, 0) == 0 ? query.substr(start.size()) : std::string();
+    for (const absl::string_view field : absl::StrSplit(query, '&')) {
+        if (absl::StartsWith(field, key + "="))
+            return std::string(field.substr(key.size() + 1));
+    }
+    return {};
+}
+
+// How long a member may take for a row; `relayTimeout` for a request that does not say so.
+Duration relayLimit(const std::string &query)
+{
+    constexpr int64_t maxLimitMs = 10000;
+    int64_t limit = 0;
+    if (!absl::SimpleAtoi(queryValue(query, "limitMs"), &limit))
+        return relayTimeout;
+    return milliseconds(std::clamp<int64_t>(limit, 0, maxLimitMs));
 }
 
 } // namespace
@@ -84,7 +100,7 @@
         });
     };
     m_entry = std::make_unique<Entry>(node.trafficContext(), *m_links.trafficStore, m_links.reader,
-                                      member, std::move(local), node.metrics());
+                                      member, options.address, std::move(local), node.metrics());
     m_entry->configChanged = [this](const ConfigFollower::ConfigPointer &config) {
         if (configChanged)
             configChanged(*config);
@@ -174,6 +190,7 @@
                });
     node.route("/cell/relay", [this](const http::Request &request, const http::Responder &respond) {
         m_entry->storeFor(queryValue(request.query, "key"), request.body,
+                          BootClock::now() + relayLimit(request.query),
                           [respond](StoreOutcome stored) {
                               http::Response response;
                               response.body = encodeStoreOutcome(stored);
--- a/src/cell/relay.cpp
+++ b/src/cell/relay.cpp
@@ -5,7 +5,9 @@
 #include "base/random.h"
 #include "node/log.h"
 
+#include <absl/strings/str_cat.h>
 #include <boost/asio/post.hpp>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <utility>
@@ -96,6 +98,69 @@
     return peer.client;
 }
 
+http::Request Relay::makeMessage(const Row &row, Duration limit)
+{
+    http::Request message;
+    message.method = "POST";
+    message.path = "/cell/relay";
+    message.query = absl::StrCat(
+            "key=", row.key, "&limitMs=", std::chrono::duration_cast<milliseconds>(limit).count());
+    message.body = row.value;
+    return message;
+}
+
+StoreOutcome Relay::outcomeOf(const absl::StatusOr<http::Response> &response)
+{
+    if (response.ok() && response->status == 200)
+        return decodeStoreOutcome(response->body);
+    const bool isNotSent =
+            !response.ok() && failureOf(response.status()) == Failure::ConnectionRefused;
+    return isNotSent ? StoreOutcome::NotStored : StoreOutcome::Unknown;
+}
+
+std::string Relay::collectorOf(const std::string &part, const std::string &self) const
+{
+    const auto weightOf = [&](const std::string &address) {
+        const std::string text = absl::StrCat(part, "/", address);
+        return XXH64(text.data(), text.size(), 0);
+    };
+    std::string best;
+    uint64_t bestWeight = weightOf(self);
+    for (const std::string &address : m_addresses) {
+        const uint64_t weight = weightOf(address);
+        if (weight > bestWeight) {
+            best = address;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
+void Relay::putThrough(const std::string &address, const Row &row, TimePoint deadline,
+                       Callback callback)
+{
+    const TimePoint now = BootClock::now();
+    const auto peer = m_peers.find(address);
+    const bool isPaused = peer != m_peers.end() && now < peer->second.pausedUntil;
+    const std::shared_ptr<http::Client> client = isPaused ? nullptr : clientOf(address);
+    if (!client || deadline - now <= collectMargin) {
+        callback(StoreOutcome::NotStored);
+        return;
+    }
+    client->send(makeMessage(row, deadline - now - collectMargin), deadline,
+                 [this, address, key = row.key,
+                  callback = std::move(callback)](const absl::StatusOr<http::Response> &response) {
+                     const StoreOutcome stored = outcomeOf(response);
+                     if (!response.ok()) {
+                         log::info(
+                                 "collector_failed",
+                                 {{"key", key}, {"member", address}, {"error", response.status()}});
+                         m_peers[address].pausedUntil = BootClock::now() + peerBackoff;
+                     }
+                     callback(stored);
+                 });
+}
+
 void Relay::put(const Row &row, TimePoint deadline, Callback callback)
 {
     auto request = std::make_shared<Request>();
@@ -117,12 +182,8 @@
         return;
     }
     request->tried.push_back(address);
-    http::Request message;
-    message.method = "POST";
-    message.path = "/cell/relay";
-    message.query = "key=" + request->row.key;
-    message.body = request->row.value;
-    client->send(std::move(message), std::min(request->deadline, now + relayTimeout),
+    client->send(makeMessage(request->row, relayTimeout),
+                 std::min(request->deadline, now + relayTimeout),
                  [this, request, address](const absl::StatusOr<http::Response> &response) {
                      onResponse(request, address, response);
                  });
@@ -131,11 +192,7 @@
 void Relay::onResponse(const std::shared_ptr<Request> &request, const std::string &address,
                        const absl::StatusOr<http::Response> &response)
 {
-    StoreOutcome stored = StoreOutcome::Unknown;
-    if (response.ok() && response->status == 200)
-        stored = decodeStoreOutcome(response->body);
-    else if (!response.ok() && failureOf(response.status()) == Failure::ConnectionRefused)
-        stored = StoreOutcome::NotStored;
+    const StoreOutcome stored = outcomeOf(response);
     log::info("row_relayed",
               {{"key", request->row.key},
                {"member", address},
--- a/src/cell/relay.h
+++ b/src/cell/relay.h
@@ -22,6 +22,8 @@
 constexpr Duration relayConnectTimeout = milliseconds(200); // it is in the same region
 constexpr Duration peerBackoff = seconds(2);                // after a failure of a member
 constexpr int maxRelays = 2;                                // members tried for one row
+// Time that a member has for the response beyond the time that it may take for the row.
+constexpr Duration collectMargin = milliseconds(100);
 
 // Body of the response to POST /cell/relay between members.
 std::string encodeStoreOutcome(StoreOutcome stored);
@@ -39,6 +41,13 @@
     void setPeers(std::vector<std::string> addresses);
     void setOwner(const std::string &address) { m_owner = address; }
 
+    // The member that collects the rows of `part` while the store is slow, chosen alike by all
+    // members: empty if it is this one, whose own address is `self`.
+    std::string collectorOf(const std::string &part, const std::string &self) const;
+    // Asks one member to store the row by `deadline`.
+    void putThrough(const std::string &address, const Row &row, TimePoint deadline,
+                    Callback callback);
+
     // Asks up to `maxRelays` members to store the row. The result is NotStored if all of them
     // reported that it certainly is not stored, or none could be reached.
     void put(const Row &row, TimePoint deadline, Callback callback);
@@ -53,6 +62,8 @@
 
     std::string chooseMember(const std::vector<std::string> &tried, TimePoint now);
     std::shared_ptr<http::Client> clientOf(const std::string &address);
+    static http::Request makeMessage(const Row &row, Duration limit);
+    static StoreOutcome outcomeOf(const absl::StatusOr<http::Response> &response);
     void sendToNext(const std::shared_ptr<Request> &request);
     void onResponse(const std::shared_ptr<Request> &request, const std::string &address,
                     const absl::StatusOr<http::Response> &response);
--- /dev/null
+++ b/tests/cell/relay_test.cpp
@@ -0,0 +1,102 @@
+// The choice of the member that collects the rows of a part, and what makes a store count as slow.
+
+#include "cell/acceptance.h"
+#include "cell/entry.h"
+#include "cell/memorystore.h"
+#include "cell/relay.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace cwl;
+using namespace cwl::cell;
+
+class RelayTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RelayTest);
+    CPPUNIT_TEST(membersAgreeOnTheCollectorOfAPart);
+    CPPUNIT_TEST(lostMemberMovesOnlyItsParts);
+    CPPUNIT_TEST(rejectedWritesMakeTheStoreSlow);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr size_t memberCount = 40;
+    boost::asio::io_context m_context{1};
+
+    static std::string addressOf(size_t member) { return absl::StrCat("10.0.0.", member, ":7440"); }
+
+    // The collector of each part as `member` sees it; `without` is not known to it.
+    std::map<std::string, std::string> collectors(size_t member, size_t without = memberCount)
+    {
+        Relay relay(m_context);
+        std::vector<std::string> others;
+        for (size_t other = 0; other < memberCount; ++other) {
+            if (other != member && other != without)
+                others.push_back(addressOf(other));
+        }
+        relay.setPeers(others);
+        std::map<std::string, std::string> result;
+        for (size_t part = 0; part < jobParts; ++part) {
+            const std::string collector = relay.collectorOf(jobPartName(part), addressOf(member));
+            result[jobPartName(part)] = collector.empty() ? addressOf(member) : collector;
+        }
+        return result;
+    }
+
+public:
+    // Guards against several members that write the same part of a slow store: it executes few
+    // transactions a second, and each of these would hold a single row.
+    void membersAgreeOnTheCollectorOfAPart()
+    {
+        const auto first = collectors(0);
+        for (size_t member = 1; member < memberCount; ++member)
+            CPPUNIT_ASSERT(first == collectors(member));
+        std::map<std::string, int> load;
+        for (const auto &[part, collector] : first)
+            ++load[collector];
+        CPPUNIT_ASSERT(load.size() > jobParts / 3); // no member collects most parts
+    }
+
+    // Guards against all parts changing their collector when a member is lost.
+    void lostMemberMovesOnlyItsParts()
+    {
+        const auto all = collectors(0);
+        const auto without = collectors(0, 7);
+        for (const auto &[part, collector] : all) {
+            if (collector != addressOf(7))
+                CPPUNIT_ASSERT_EQUAL(collector, without.at(part));
+        }
+    }
+
+    // Guards against a member that takes an overloaded store for a fast one because none of its own
+    // writes succeeds.
+    void rejectedWritesMakeTheStoreSlow()
+    {
+        const auto work = boost::asio::make_work_guard(m_context);
+        tests::MemoryStore store(m_context);
+        Acceptance acceptance(m_context, store);
+        store.isDown = true;
+        std::optional<StoreOutcome> outcome;
+        acceptance.put({jobsTable, jobPartName(0), "5c0e7a21d94b36f8", "{}"},
+                       BootClock::now() + seconds(3),
+                       [&](StoreOutcome stored) { outcome = stored; });
+        const TimePoint limit = BootClock::now() + seconds(20);
+        while (!outcome && BootClock::now() < limit)
+            m_context.run_one_for(milliseconds(20));
+        CPPUNIT_ASSERT(outcome == StoreOutcome::NotStored);
+        CPPUNIT_ASSERT(acceptance.responseTime() > slowStoreTime);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
+
+} // namespace
