Keep long runs that progress slowly; remove members that have left

Cause, long runs: progress is in whole percent, and a run without progress for 1.6 s was stopped, so a task of 160 s or more was started again and again. Change: a run may stand still for a tenth of its predicted time. Cause, members: a member's row stayed in the table after its instance was replaced, and relays, advice queries and collectors went to its address.

--- a/src/cell/owner.cpp
+++ b/src/cell/owner.cpp
@@ -159,7 +159,8 @@
     scheduleDecision();
 }
 
-// Stores the address of this member for the other members; retries until it succeeds.
+// Stores the address of this member for the other members, and again after `announceInterval`;
+// retries until it succeeds.
 void Owner::announceAddress()
 {
     Transaction transaction;
@@ -168,10 +169,10 @@
                    [this, alive = m_alive](const absl::StatusOr<TransactionResult> &result) {
                        if (!*alive)
                            return;
-                       if (result.ok())
-                           return;
-                       log::info("announce_failed", {{"error", result.status()}});
-                       after(m_announceTimer, seconds(1), [this] { announceAddress(); });
+                       if (!result.ok())
+                           log::info("announce_failed", {{"error", result.status()}});
+                       after(m_announceTimer, result.ok() ? announceInterval : announceRetryPause,
+                             [this] { announceAddress(); });
                    });
 }
 
@@ -182,11 +183,11 @@
                   if (!*alive)
                       return;
                   if (page.ok()) {
-                      std::vector<std::string> addresses;
-                      for (const Row &row : page->rows) {
-                          if (row.value != m_options.address)
-                              addresses.push_back(row.value);
-                      }
+                      m_members.update(page->rows, BootClock::now());
+                      if (m_isActive)
+                          removeExpiredMembers();
+                      const std::vector<std::string> addresses =
+                              m_members.othersThan(m_options.address);
                       m_otherMembers = addresses.size();
                       m_advice.setMembers(addresses);
                       if (membersChanged)
@@ -198,6 +199,21 @@
               });
 }
 
+// A member that has written its row meanwhile keeps it: the removal names the revision.
+void Owner::removeExpiredMembers()
+{
+    for (const Row &row : m_members.expired(BootClock::now())) {
+        Transaction transaction;
+        transaction.expected = {{row.table, row.part, row.key, {}, row.revision}};
+        transaction.removals = {{row.table, row.part, row.key}};
+        m_store.commit(
+                transaction, BootClock::now() + storeCallTimeout,
+                [key = row.key](const absl::StatusOr<TransactionResult> &result) {
+                    log::info("member_expired", {{"instance", key}, {"error", result.status()}});
+                });
+    }
+}
+
 // Section: running
 
 void Owner::tick()
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "cell/advicerouter.h"
+#include "cell/memberlist.h"
 #include "cell/ownership.h"
 #include "cell/ports.h"
 #include "cell/tablefollower.h"
@@ -42,7 +43,8 @@
 constexpr Duration maxAcknowledgeDelay = milliseconds(150); // of a poll, for a write
 constexpr Duration ownerMembersInterval =
         seconds(2); // between reads of the members table, as owner
-constexpr Duration memberMembersInterval = seconds(10);    // as another member
+constexpr Duration memberMembersInterval = seconds(10); // as another member
+constexpr Duration announceRetryPause = seconds(1);
 constexpr Duration firstMembersDelay = milliseconds(1500); // instances of a new cell start together
 // Between polls of the feeds of jobs and workers that brought changes: members notify the owner of
 // jobs at once, and every worker's row changes with each of its heartbeats.
@@ -123,6 +125,7 @@
     void onWorkers(const std::vector<Row> &rows, bool isSnapshot);
     void announceAddress();
     void readMembers();
+    void removeExpiredMembers();
     void retryLoad();
 
     // Section: running (owner.cpp)
@@ -186,6 +189,7 @@
     Timer m_announceTimer;
     Timer m_probeTimer;
     Timer m_predecessorTimer;
+    MemberList m_members;
     size_t m_otherMembers = 0; // as last read
 
     metrics::Counter &m_startsSent;
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -43,8 +43,11 @@
 constexpr Duration stopRetryInterval = milliseconds(500); // until a stop is acknowledged
 constexpr int64_t mostUrgentPriority = 0;                 // of a queue; it may preempt all others
 constexpr double maxWorkerClockDrift = 0.02;              // fraction by which a clock may run slow
-constexpr Duration stallTimeout = milliseconds(1600);     // progress is reported in whole percent
-constexpr Duration exclusionDuration = seconds(4);        // after consecutive failures
+// A run whose progress stays the same for longer is stopped. Progress is reported in whole percent,
+// so a long run gets a share of its predicted time, which also allows for a slow worker.
+constexpr Duration minStallTimeout = milliseconds(1600);
+constexpr double stallShare = 0.1;
+constexpr Duration exclusionDuration = seconds(4); // after consecutive failures
 constexpr uint32_t failuresBeforeExclusion = 2;
 constexpr Duration ticketMargin = milliseconds(150);  // network delay of a start, and clock error
 constexpr Duration maxReportAge = milliseconds(2600); // older: the worker may be unreachable
--- a/src/jobs/runs.cpp
+++ b/src/jobs/runs.cpp
@@ -361,7 +361,11 @@
 {
     const bool isWorking = run.job && run.phase == RunPhase::Running && run.pace == 100
             && run.confirmedAt != TimePoint();
-    if (!isWorking || now - run.percentChangedAt < stallTimeout)
+    if (!isWorking)
+        return;
+    const auto share = Duration(
+            int64_t(stallShare * double(run.job->predictedTimes[run.address.step].count())));
+    if (now - run.percentChangedAt < std::max(minStallTimeout, share))
         return;
     const Step &spec = stepSpec(*run.job, run.address);
     if (spec.backfill || spec.gang || (spec.longRunning && run.percent >= 100))
--- a/tests/jobs/dispatcher_test.cpp
+++ b/tests/jobs/dispatcher_test.cpp
@@ -45,6 +45,9 @@
     CPPUNIT_TEST(gangStartsOnlyAsAWhole);
     CPPUNIT_TEST(stepWithAdviceStartsOnlyWithTicket);
     CPPUNIT_TEST(cancelledJobStopsItsRuns);
+    CPPUNIT_TEST(longRunIsNotTakenForAStalledOne);
+    CPPUNIT_TEST(stalledRunIsStopped);
+    CPPUNIT_TEST(workerOfAnEarlierOwnerGetsNoStart);
     CPPUNIT_TEST(stepStartsAfterItsPredecessors);
     CPPUNIT_TEST_SUITE_END();
 
@@ -255,6 +258,51 @@
         CPPUNIT_ASSERT_EQUAL(std::string("lasting.0.0.0"), orders.starts[0].task);
     }
 
+    // Guards against tasks of many minutes that are stopped over and over, since a percent of them
+    // takes longer than the time after which a short task counts as stalled.
+    void longRunIsNotTakenForAStalledOne()
+    {
+        putWorker("a", 10000);
+        report("a", 10);
+        JobSpec job = makeJob("long", 1, 1000);
+        job.steps[0].estimate = std::chrono::minutes(10);
+        m_dispatcher.addJob(job, at(20));
+        const Orders orders = decide(30);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), orders.starts.size());
+        m_dispatcher.onStartAnswered(orders.starts[0], OrderAnswer::Accepted, at(35));
+        report("a", 1000, {{orders.starts[0].task, orders.starts[0].attempt, "", 0, 1000}});
+        report("a", 7000, {{orders.starts[0].task, orders.starts[0].attempt, "", 1, 1000}});
+        report("a", 12000, {{orders.starts[0].task, orders.starts[0].attempt, "", 1, 1000}});
+        CPPUNIT_ASSERT(decide(12010).stops.empty());
+    }
+
+    // Guards against a task that stands still and holds its worker until the job's deadline.
+    void stalledRunIsStopped()
+    {
+        putWorker("a", 10000);
+        report("a", 10);
+        m_dispatcher.addJob(makeJob("short", 1, 1000), at(20));
+        const Orders orders = decide(30);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), orders.starts.size());
+        m_dispatcher.onStartAnswered(orders.starts[0], OrderAnswer::Accepted, at(35));
+        report("a", 1000, {{orders.starts[0].task, orders.starts[0].attempt, "", 20, 1000}});
+        report("a", 3000, {{orders.starts[0].task, orders.starts[0].attempt, "", 20, 1000}});
+        CPPUNIT_ASSERT_EQUAL(size_t(1), decide(3010).stops.size());
+    }
+
+    // Guards against a worker that has left and gets tasks again after a change of the owner,
+    // because its row is read back to look for runs that it may still have.
+    void workerOfAnEarlierOwnerGetsNoStart()
+    {
+        putWorker("left", 10000);
+        m_dispatcher.unlistWorker(WorkerId("left"), at(5));
+        report("left", 10);
+        m_dispatcher.addJob(makeJob("job", 1, 1000), at(20));
+        CPPUNIT_ASSERT(decide(30).starts.empty());
+        putWorker("left", 10000); // listed again
+        CPPUNIT_ASSERT_EQUAL(size_t(1), decide(40).starts.size());
+    }
+
     // Guards against urgent work that waits despite free capacity because a larger task of its own
     // queue waits for the same worker. Less urgent work does wait.
     void reservedWorkerAcceptsEquallyUrgentWork()
