Take a worker for ended when another one answers at its address

The next owner held back all restored jobs for 16.6 s, the longest time that the former owner could have kept leases alive, because the replaced workers never reported: their addresses answer 421. Change: such an answer ends the worker's runs and its lease. An address is given away only after its worker has ended.

--- a/src/cell/ownerwatch.cpp
+++ b/src/cell/ownerwatch.cpp
@@ -48,9 +48,13 @@
     const Duration wait = waits ? watchWait : Duration::zero();
     m_gateway.watch(entry->target, order, m_ownership.epoch(), wait, entry->keepsConnection,
                     now + wait + watchResponseMargin,
-                    [this, alive = m_alive, term = m_term, entry, now](const WatchResult &result) {
+                    [this, alive = m_alive, term = m_term, entry, now,
+                     address = entry->target.address](const WatchResult &result) {
                         if (!*alive || term != m_term || checkFenced(result.answer))
                             return;
+                        if (result.answer == jobs::OrderAnswer::WrongWorker
+                            && address == entry->target.address)
+                            m_dispatcher.onWorkerReplaced(entry->id, BootClock::now());
                         onWatched(entry, now, result);
                     });
 }
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -181,6 +181,8 @@
 
     void onReport(const WorkerId &id, const WorkerReport &report, TimePoint sentAt, TimePoint now);
     void onPollFailed(const WorkerId &id); // later polls renew no lease until one succeeds
+    // Another worker responds at its address, which is given away only after a worker has ended.
+    void onWorkerReplaced(const WorkerId &id, TimePoint now);
     void onStartAnswered(const StartOrder &order, OrderAnswer answer, TimePoint now);
     void onStopAnswered(const StopOrder &order, OrderAnswer answer, TimePoint now);
     void onAdvice(const AdviceQuery &query, const std::vector<AllowedWorker> &allowed,
--- a/src/jobs/runs.cpp
+++ b/src/jobs/runs.cpp
@@ -423,6 +423,17 @@
         worker->second->lastPollFailed = true;
 }
 
+void Dispatcher::onWorkerReplaced(const WorkerId &id, TimePoint now)
+{
+    const auto found = m_workers.find(id.value());
+    if (found == m_workers.end())
+        return;
+    Worker &worker = *found->second;
+    markRunsLost(worker, "replaced", now);
+    worker.leaseExpiresAt = std::min(worker.leaseExpiresAt, now);
+    unlistWorker(id, now);
+}
+
 void Dispatcher::onStartAnswered(const StartOrder &order, OrderAnswer answer, TimePoint now)
 {
     const auto found = m_workers.find(order.worker.value());
--- a/tests/jobs/dispatcher_test.cpp
+++ b/tests/jobs/dispatcher_test.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(gangStartsOnlyAsAWhole);
     CPPUNIT_TEST(stepWithAdviceStartsOnlyWithTicket);
     CPPUNIT_TEST(cancelledJobStopsItsRuns);
+    CPPUNIT_TEST(replacedWorkerDelaysNoRestoredJob);
     CPPUNIT_TEST(longRunIsNotTakenForAStalledOne);
     CPPUNIT_TEST(stalledRunIsStopped);
     CPPUNIT_TEST(workerOfAnEarlierOwnerGetsNoStart);
@@ -258,6 +259,24 @@
         CPPUNIT_ASSERT_EQUAL(std::string("lasting.0.0.0"), orders.starts[0].task);
     }
 
+    // Guards against restored jobs that wait 16 s for the lease of a worker that has left, although
+    // another worker answers at its address.
+    void replacedWorkerDelaysNoRestoredJob()
+    {
+        m_dispatcher.begin(Epoch(2), at(16000));
+        putWorker("left", 10000);
+        putWorker("stays", 10000);
+        report("stays", 10);
+        m_dispatcher.restoreJob(makeJob("job", 1, 1000), std::nullopt, false, at(20),
+                                UnixMilliseconds(0));
+        CPPUNIT_ASSERT(decide(30).starts.empty());
+        m_dispatcher.onWorkerReplaced(WorkerId("left"), at(40));
+        const Orders orders = decide(50);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), orders.starts.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("stays"), orders.starts[0].worker.value());
+        CPPUNIT_ASSERT(m_dispatcher.isRemovable(WorkerId("left"), at(50)));
+    }
+
     // Guards against tasks of many minutes that are stopped over and over, since a percent of them
     // takes longer than the time after which a short task counts as stalled.
     void longRunIsNotTakenForAStalledOne()
