Poll less often when the owner falls behind; read late answers first

Timers of calls then fire before their answers, which have arrived, are read: 133 workers counted as unreachable and hundreds of starts as unanswered, so runs were stopped and placed again. Change: a call whose timer fires over 50 ms late gets up to 500 ms to read its answer; an owner whose ticks come late pauses between polls of a worker; tickets of a gang are not asked for again before the last answer could be used.

--- a/src/cell/owner.cpp
+++ b/src/cell/owner.cpp
@@ -61,6 +61,8 @@
                                      "Duration of a write by the owner."))
     , m_orderTime(metrics.histogram("cwl_cell_start_answer_seconds",
                                     "Time from a start order to its response."))
+    , m_lagTime(metrics.histogram("cwl_cell_owner_lag_seconds",
+                                  "Time by which the owner's timer fires late: its load."))
     , m_recoveryTime(metrics.histogram("cwl_cell_recovery_seconds",
                                        "Time from the takeover until jobs can start."))
 {
@@ -220,7 +222,12 @@
 {
     if (!m_isActive)
         return;
+    const TimePoint now = BootClock::now();
+    const Duration lag = m_nextTick == TimePoint() ? Duration::zero() : now - m_nextTick;
+    m_lag = std::max(lag, Duration(int64_t(lagDecay * double(m_lag.count()))));
+    m_lagTime.observe(lag);
     decide();
+    m_nextTick = BootClock::now() + tickInterval;
     after(m_tickTimer, tickInterval, [this] { tick(); });
 }
 
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -39,6 +39,9 @@
 // all workers, then also those with runs.
 constexpr Duration idlePollInterval = milliseconds(1000);
 constexpr Duration sharedPollInterval = milliseconds(200);
+constexpr Duration minLag = milliseconds(25); // of ticks, from which the owner counts as overloaded
+constexpr double lagDecay = 0.8;              // of the largest lag, with each tick
+constexpr Duration maxOverloadPause = milliseconds(200);    // between polls of a worker
 constexpr Duration commitInterval = milliseconds(12);       // combines completions into one write
 constexpr Duration maxAcknowledgeDelay = milliseconds(150); // of a poll, for a write
 constexpr Duration ownerMembersInterval =
@@ -149,6 +152,7 @@
                    const WatchResult &result);
     void resumeWatches();
     void expediteWatch(const WorkerId &id);
+    Duration overloadPause() const;
     void takePollConnection(Watch &entry, bool hasRuns);
 
     void after(Timer &timer, Duration pause, std::function<void()> action);
@@ -181,6 +185,8 @@
     TimePoint m_storeNotBefore = {};
     TimePoint m_decideNotBefore = {}; // with a long backlog, decisions are made less often
     TimePoint m_nextExpiry = {};
+    TimePoint m_nextTick = {};
+    Duration m_lag = {}; // by which ticks come late, the largest of the last ones
     Timer m_decideTimer;
     Timer m_storeTimer;
     Timer m_tickTimer;
@@ -198,6 +204,7 @@
     metrics::Histogram &m_decideTime;
     metrics::Histogram &m_commitTime;
     metrics::Histogram &m_orderTime;
+    metrics::Histogram &m_lagTime;
     metrics::Histogram &m_recoveryTime;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/src/cell/ownerload.cpp
+++ b/src/cell/ownerload.cpp
@@ -44,6 +44,8 @@
     m_takeovers.add();
     const TimePoint now = BootClock::now();
     m_termStart = now;
+    m_nextTick = {};
+    m_lag = {};
     const auto lease =
             Duration(int64_t(double(m_options.dispatcher.lease.count()) * workerClockMargin));
     // Runs of the last owner may continue until it notices that it is superseded, and one lease
--- a/src/cell/ownerwatch.cpp
+++ b/src/cell/ownerwatch.cpp
@@ -83,13 +83,15 @@
     m_dispatcher.onReport(entry->id, result.report, sentAt, now);
     scheduleDecision();
     if (worker->completionsProcessed == worker->completionsAcknowledged) {
-        if (entry->keepsConnection) {
+        const Duration pause = !entry->keepsConnection
+                ? (worker->runs.empty() ? idlePollInterval : sharedPollInterval)
+                : overloadPause();
+        if (pause == Duration::zero()) {
             sendWatch(entry);
             return;
         }
         entry->isPaused = true;
-        after(entry->timer, worker->runs.empty() ? idlePollInterval : sharedPollInterval,
-              [this, entry] { sendWatch(entry); });
+        after(entry->timer, pause, [this, entry] { sendWatch(entry); });
         return;
     }
     entry->isWaitingForWrite = true;
@@ -121,11 +123,17 @@
         m_arePollsExhausted = false;
 }
 
+// An owner that falls behind polls less often: each report then brings more completions.
+Duration Owner::overloadPause() const
+{
+    return m_lag < minLag ? Duration::zero() : std::min<Duration>(2 * m_lag, maxOverloadPause);
+}
+
 // A start makes completions of this worker likely, so it is polled without the pause.
 void Owner::expediteWatch(const WorkerId &id)
 {
     const auto found = m_watches.find(id.value());
-    if (found == m_watches.end() || !found->second->isPaused)
+    if (found == m_watches.end() || !found->second->isPaused || found->second->keepsConnection)
         return;
     found->second->timer.cancel();
     sendWatch(found->second);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -56,6 +56,7 @@
     void enqueue(const ExchangePointer &exchange);
     void serveQueue();
     LinkPointer takeIdleLink();
+    void onTimer(const ExchangePointer &exchange);
     void onDeadline(const ExchangePointer &exchange);
     ExchangePointer findExchange(uint64_t id) const;
     void closeIdle();
@@ -135,7 +136,7 @@
     exchange->timer.expires_after(untilDeadline(exchange->deadline));
     exchange->timer.async_wait([self = shared_from_this(), exchange](error_code error) {
         if (!error)
-            self->onDeadline(exchange);
+            self->onTimer(exchange);
     });
     m_waiting.push_back(exchange);
     serveQueue();
@@ -178,6 +179,22 @@
     return nullptr;
 }
 
+// A process that was paused or overloaded finds the deadline and the answer at the same time. What
+// has arrived is read first, so that its own lateness does not count as the server's.
+void Client::Implementation::onTimer(const ExchangePointer &exchange)
+{
+    const Duration lateness = BootClock::now() - exchange->deadline;
+    if (lateness <= maxTimerLateness) {
+        onDeadline(exchange);
+        return;
+    }
+    exchange->timer.expires_after(std::min<Duration>(lateness, maxDeadlineGrace));
+    exchange->timer.async_wait([self = shared_from_this(), exchange](error_code error) {
+        if (!error)
+            self->onDeadline(exchange);
+    });
+}
+
 void Client::Implementation::onDeadline(const ExchangePointer &exchange)
 {
     const auto waiting = std::find(m_waiting.begin(), m_waiting.end(), exchange);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -27,6 +27,9 @@
     Traffic traffic = Traffic::HttpOther; // what its bytes are counted as
 };
 
+constexpr Duration maxTimerLateness = milliseconds(50);  // of a process that runs as it should
+constexpr Duration maxDeadlineGrace = milliseconds(500); // to read answers after a pause
+
 // The answer, complete, or a failure. Failures that mean "certainly not sent": ConnectionRefused
 // (no connection, or the kept connection was found closed before any byte was written),
 // DeadlinePassed (it waited for a connection until its deadline) and LeaseLapsed (the guard refused
@@ -47,7 +50,8 @@
     ~Client(); // fails what is under way with ConnectionLost
 
     // Sends `request`; calls `callback` exactly once on a thread of the io_context, at `deadline`
-    // at the latest. Nothing is retried.
+    // at the latest, or up to `maxDeadlineGrace` later if this process was late itself. Nothing is
+    // retried.
     // Returns the number of the request, for giveUp().
     uint64_t send(Request request, TimePoint deadline, ResponseCallback callback,
                   SendGuard guard = {});
--- a/src/jobs/advice.cpp
+++ b/src/jobs/advice.cpp
@@ -206,7 +206,8 @@
     // All members need tickets at one moment, so those of a gang are renewed before they expire.
     if (stepSpec(*job, query.step).gang)
         step->advice.retryAt =
-                std::min(step->advice.retryAt, now + validity - ticketMargin - query.expected);
+                std::min(step->advice.retryAt,
+                         now + std::max(query.expected, validity - ticketMargin - query.expected));
     size_t newResponses = 0;
     size_t newAllowed = 0;
     for (const WorkerId &id : query.workers) {
--- a/tests/usersplatform/cell_test.cpp
+++ b/tests/usersplatform/cell_test.cpp
@@ -306,14 +306,13 @@
                 "{\"spec\":7,\"phases\":[{\"count\":-1,\"cpu\":1e300,\"estRuntimeMs\":-1e300}]}",
                 "{\"phases\":[{\"count\":1,\"cpu\":-5}]}",
                 "{\"phases\":[{\"count\":1,\"after\":[0]}]}",
-                "{\"phases\":[{\"count\":4000}],\"times\":1000000,\"startAtMs\":0,\"intervalMs\":"
-                "1}",
+                R"({"phases":[{"count":4000}],"times":1000000,"startAtMs":0,"intervalMs":1})",
                 "{\"epoch\":\"x\",\"state\":[],\"step\":{},\"workers\":7,\"stored\":[]}",
                 "{\"step\":\"x\",\"workers\":\"x\"}",
                 "{\"rows\":[{\"table\":7,\"ver\":1e300,\"value\":\"%%%\"}],\"ver\":\"x\"}",
                 "{\"clockMs\":1e300,\"running\":[[],[1,2,3,4]],\"finished\":[[0]]}",
-                "{\"clockMs\":1,\"running\":[[\"a.0.0.0\",1e300,7,-1e300]],\"finished\":"
-                "[[1e300,\"a.0.0.0\",-1,\"?\",7]]}",
+                R"({"clockMs":1,"running":[["a.0.0.0",1e300,7,-1e300]],"finished":[]})",
+                R"({"clockMs":1,"running":[],"finished":[[1e300,"a.0.0.0",-1,"?",7]]})",
                 "{\"allowed\":[7,[],[7,7]]}",
                 "{\"phases\":[{\"count\":1",
         };
