Share the fixture of the members' tests; place a comment at its struct

Cause: three test files of tests/cell repeated the same fixture; the comment of ServicePool stood at another struct. Change: tests/cell/memberfixture.h; no assertion changed.

--- a/src/cell/ownership.h
+++ b/src/cell/ownership.h
@@ -104,8 +104,7 @@
 
     // Writes rows of the owner's part under the owner's condition. `committed` is called once they
     // are stored, or with false if the store refuses them for what they are; never if the ownership
-    // is lost before. One write at a time; returns false
-    // while one is in flight.
+    // is lost before. One write at a time; returns false while one is in flight.
     bool commit(std::vector<Row> writes, std::vector<Row> removals, Committed committed);
     bool isCommitting() const { return m_pending != nullptr; }
 
@@ -164,10 +163,9 @@
     TimePoint m_leaseChangedAt;    // when the followed row was last seen to change
     Epoch m_endedEpoch = {};       // whose process is known to have ended
     TimePoint m_lastResponse;
-    TimePoint m_lastCommit = {}; // send time of the last write that took effect
-    TimePoint m_lastActive = {}; // last call of mayAct()
-    TimePoint m_confirmAfter =
-            {}; // end of the last pause: no orders until a later write took effect
+    TimePoint m_lastCommit = {};   // send time of the last write that took effect
+    TimePoint m_lastActive = {};   // last call of mayAct()
+    TimePoint m_confirmAfter = {}; // end of the last pause; a later write allows orders again
     TimePoint m_lastRenewal = {};
     TimePoint m_termStart = {};
     bool m_isOwner = false;
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -236,12 +236,13 @@
         NoWorker, // none has free capacity and, if needed, a ticket
         Reserved, // the remaining capacity is reserved for urgent queues
     };
-    // The workers of one service during one placement pass.
+    // A worker that can take a task of the step that is being placed.
     struct Place
     {
         Worker *worker = nullptr;
-        double score = 0;
+        double score = 0; // the highest is chosen
     };
+    // The workers of one service during one placement pass.
     struct ServicePool
     {
         std::vector<Worker *> workers = {}; // that may get starts now
--- a/tests/cell/configfollower_test.cpp
+++ b/tests/cell/configfollower_test.cpp
@@ -2,11 +2,7 @@
 
 #include "base/error.h"
 #include "cell/configfollower.h"
-#include "cell/memorystore.h"
-
-#include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/io_context.hpp>
-#include <cppunit/extensions/HelperMacros.h>
+#include "cell/memberfixture.h"
 
 #include <memory>
 #include <optional>
@@ -17,7 +13,6 @@
 using namespace cwl;
 using namespace cwl::cell;
 
-constexpr Duration waitLimit = seconds(20); // of each condition
 const char *const host = "a.example";
 
 // A row holds the version; each version has one queue "/p<version>/".
@@ -32,17 +27,13 @@
     return config;
 }
 
-class ConfigFollowerTest : public CppUnit::TestFixture
+class ConfigFollowerTest : public tests::MemberFixture
 {
     CPPUNIT_TEST_SUITE(ConfigFollowerTest);
     CPPUNIT_TEST(staleConfigIsConfirmedBeforeARequestIsHandled);
     CPPUNIT_TEST(unreachableStoreConfirmsNothing);
     CPPUNIT_TEST_SUITE_END();
 
-    boost::asio::io_context m_context{1};
-    const boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work{
-            m_context.get_executor()};
-    tests::MemoryStore m_store{m_context};
     std::unique_ptr<ConfigFollower> m_follower;
 
     void put(const std::string &version)
@@ -52,16 +43,6 @@
         m_store.commit(transaction, {}, [](const absl::StatusOr<TransactionResult> &) {});
     }
 
-    template <typename Condition>
-    void runUntil(const std::string &what, Condition condition)
-    {
-        const TimePoint deadline = BootClock::now() + waitLimit;
-        while (!condition()) {
-            CPPUNIT_ASSERT_MESSAGE("timed out waiting until " + what, BootClock::now() < deadline);
-            m_context.run_one_for(milliseconds(20));
-        }
-    }
-
     bool confirm()
     {
         std::optional<bool> result;
@@ -90,7 +71,11 @@
         runUntil("a configuration", [&] { return m_follower->config() != nullptr; });
     }
 
-    void tearDown() override { m_follower.reset(); }
+    void tearDown() override
+    {
+        m_follower.reset();
+        tests::MemberFixture::tearDown();
+    }
 
     // Guards against an instance that answers 404 for a queue of a version that has been in force
     // for seconds, because its poll for changes went silent.
--- a/tests/cell/ownership_test.cpp
+++ b/tests/cell/ownership_test.cpp
@@ -1,26 +1,19 @@
 // Takeover and resignation between instances of different sizes, over in-memory tables.
 
-#include "cell/memorystore.h"
-#include "cell/ownership.h"
+#include "cell/memberfixture.h"
 
-#include <boost/asio/io_context.hpp>
-#include <cppunit/extensions/HelperMacros.h>
-
-#include <memory>
 #include <string>
 #include <thread>
-#include <vector>
 
 namespace {
 
 using namespace cwl;
 using namespace cwl::cell;
 
-constexpr Duration waitLimit = seconds(20); // of each condition
 constexpr Millicores small{120};
 constexpr Millicores large{500};
 
-class OwnershipTest : public CppUnit::TestFixture
+class OwnershipTest : public tests::MemberFixture
 {
     CPPUNIT_TEST_SUITE(OwnershipTest);
     CPPUNIT_TEST(smallMemberLeavesTheTakeoverToALargeOne);
@@ -31,38 +24,7 @@
     CPPUNIT_TEST(refusedRowsDoNotEndTheOwnership);
     CPPUNIT_TEST_SUITE_END();
 
-    boost::asio::io_context m_context{1};
-    tests::MemoryStore m_store{m_context};
-    std::vector<std::unique_ptr<Ownership>> m_members;
-
-    Ownership &add(const std::string &name, Millicores cores)
-    {
-        OwnershipEvents events;
-        events.won = [](Epoch, const OwnerRow &) {};
-        events.lost = [](const char *) {};
-        events.changed = [](const OwnerRow &) {};
-        events.confirmed = [](TimePoint) {};
-        events.storeResponded = [](TimePoint) {};
-        m_members.push_back(std::make_unique<Ownership>(
-                m_context, m_store, OwnershipOptions{name, "127.0.0.1:1", cores},
-                std::move(events)));
-        m_members.back()->start();
-        return *m_members.back();
-    }
-
-    template <typename Condition>
-    void runUntil(const std::string &what, Condition condition)
-    {
-        const TimePoint deadline = BootClock::now() + waitLimit;
-        while (!condition()) {
-            CPPUNIT_ASSERT_MESSAGE("timed out waiting until " + what, BootClock::now() < deadline);
-            m_context.run_one_for(milliseconds(20));
-        }
-    }
-
 public:
-    void tearDown() override { m_members.clear(); }
-
     // Guards against a small instance that takes over while a large one is available. One owned the
     // cell of the grown fleet for a day: its processor share was a quarter of what the owner needs,
     // and nothing started in time.
--- a/tests/cell/storeprobe_test.cpp
+++ b/tests/cell/storeprobe_test.cpp
@@ -1,25 +1,14 @@
 // How soon members resume after an outage in which the store did not respond.
 
-#include "cell/memorystore.h"
-#include "cell/ownership.h"
+#include "cell/memberfixture.h"
 #include "cell/storeprobe.h"
 
-#include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/io_context.hpp>
-#include <cppunit/extensions/HelperMacros.h>
-
-#include <memory>
-#include <string>
-#include <vector>
-
 namespace {
 
 using namespace cwl;
 using namespace cwl::cell;
 
-constexpr Duration waitLimit = seconds(20); // of each condition
-
-class StoreProbeTest : public CppUnit::TestFixture
+class StoreProbeTest : public tests::MemberFixture
 {
     CPPUNIT_TEST_SUITE(StoreProbeTest);
     CPPUNIT_TEST(silentStoreIsFoundAgain);
@@ -27,45 +16,7 @@
     CPPUNIT_TEST(ownerIsNotReplacedRightAfterAnOutage);
     CPPUNIT_TEST_SUITE_END();
 
-    boost::asio::io_context m_context{1};
-    const boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work{
-            m_context.get_executor()};
-    tests::MemoryStore m_store{m_context};
-    std::vector<std::unique_ptr<Ownership>> m_members;
-
-    Ownership &add(const std::string &name)
-    {
-        OwnershipEvents events;
-        events.won = [](Epoch, const OwnerRow &) {};
-        events.lost = [](const char *) {};
-        events.changed = [](const OwnerRow &) {};
-        events.confirmed = [](TimePoint) {};
-        events.storeResponded = [](TimePoint) {};
-        m_members.push_back(std::make_unique<Ownership>(
-                m_context, m_store, OwnershipOptions{name, "127.0.0.1:1", {}}, std::move(events)));
-        m_members.back()->start();
-        return *m_members.back();
-    }
-
-    template <typename Condition>
-    void runUntil(const std::string &what, Condition condition)
-    {
-        const TimePoint deadline = BootClock::now() + waitLimit;
-        while (!condition()) {
-            CPPUNIT_ASSERT_MESSAGE("timed out waiting until " + what, BootClock::now() < deadline);
-            m_context.run_one_for(milliseconds(20));
-        }
-    }
-
-    void runFor(Duration time)
-    {
-        const TimePoint end = BootClock::now() + time;
-        runUntil("some time has passed", [&] { return BootClock::now() >= end; });
-    }
-
 public:
-    void tearDown() override { m_members.clear(); }
-
     // Guards against a member that refuses jobs for up to 1.6 s after the store is back, because
     // its polls from the outage have to time out first.
     void silentStoreIsFoundAgain()
