Let a lasting task query advice again without a pause

After each query whose workers were not allowed, or were full by then, its step paused for three times the duration of the query. Change: no pause if no worker was allowed, one duration otherwise; a lasting task queries as many workers as a gang does.

--- a/src/jobs/advice.cpp
+++ b/src/jobs/advice.cpp
@@ -16,7 +16,7 @@
 constexpr double adviceSurplus = 1.4;         // places queried per place needed
 // A gang needs capacity on all its workers at once, and other jobs take some of it while the query
 // is in flight.
-constexpr double gangSurplus = 3.0;
+constexpr double gangSurplus = 3.0; // also of a lasting task, which must not wait
 constexpr double minAllowedShare = 0.1;
 // Gangs that query at the same time should not all query the same workers: weight of a hash of the
 // job and the worker.
@@ -107,7 +107,8 @@
             std::max(minAllowedShare,
                      m_allowedShare.emplace(candidate.job->spec.queue.name, initialAllowedShare)
                              .first->second);
-    const double wanted = state.waiting * (step.gang ? gangSurplus : adviceSurplus) + 1;
+    const double surplus = step.gang || step.longRunning ? gangSurplus : adviceSurplus;
+    const double wanted = state.waiting * surplus + 1;
     double expected = 0;
     std::vector<WorkerId> workers;
     for (const Choice &choice : choices) {
@@ -200,7 +201,10 @@
     step->advice.isPending = false;
     // A step that finds no capacity with these tickets queries again once most of their validity
     // has passed.
-    step->advice.retryAt = now + adviceRetryFactor * query.expected;
+    // Time without a lasting task is lost, so such a step does not wait.
+    const bool isLasting = stepSpec(*job, query.step).longRunning;
+    const int factor = !isLasting ? adviceRetryFactor : allowed.empty() ? 0 : 1;
+    step->advice.retryAt = now + factor * query.expected;
     const Duration validity =
             job->spec.queue.advice ? job->spec.queue.advice->validity : Duration::zero();
     // All members need tickets at one moment, so those of a gang are renewed before they expire.
--- a/tests/jobs/gang_test.cpp
+++ b/tests/jobs/gang_test.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST_SUITE(GangTest);
     CPPUNIT_TEST(gangsQueryDifferentWorkers);
     CPPUNIT_TEST(gangQueriesAgainBeforeItsTicketsExpire);
+    CPPUNIT_TEST(lastingTaskQueriesAgainAtOnceIfNoWorkerIsAllowed);
     CPPUNIT_TEST(gangPreemptsLessUrgentRuns);
     CPPUNIT_TEST(gangPreemptsNoRunThatWouldBeLate);
     CPPUNIT_TEST(gangPreemptsNothingUnlessAllMembersFit);
@@ -136,6 +137,24 @@
         CPPUNIT_ASSERT_EQUAL(size_t(1), decide(2410).queries.size());
     }
 
+    // Guards against a lasting task that stays down for 9 to 17 s, as at 298 instances: each query
+    // whose workers were not allowed, or full by then, was followed by a pause of three times its
+    // duration.
+    void lastingTaskQueriesAgainAtOnceIfNoWorkerIsAllowed()
+    {
+        addWorkers(60, 1000);
+        JobSpec job = makeJob("lasting", 1, 1);
+        job.queue.advice = AdvicePolicy{milliseconds(700), milliseconds(10), seconds(2)};
+        job.steps[0].longRunning = true;
+        m_dispatcher.addJob(job, at(20));
+        const Orders first = decide(30);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), first.queries.size());
+        m_dispatcher.onAdvice(first.queries[0], {}, at(900));
+        const Orders second = decide(910);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), second.queries.size());
+        CPPUNIT_ASSERT(first.queries[0].workers[0] != second.queries[0].workers[0]);
+    }
+
     // Guards against gangs that wait until completions happen to free enough workers at once, while
     // work that has time to spare occupies them again.
     void gangPreemptsLessUrgentRuns()
