--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -184,11 +184,11 @@
 void Client::Implementation::onTimer(const ExchangePointer &exchange)
 {
     const Duration lateness = BootClock::now() - exchange->deadline;
-    if (lateness <= maxTimerLateness) {
+    if (m_options.deadlineGrace == Duration::zero() || lateness <= maxTimerLateness) {
         onDeadline(exchange);
         return;
     }
-    exchange->timer.expires_after(std::min<Duration>(lateness, maxDeadlineGrace));
+    exchange->timer.expires_after(std::min(lateness, m_options.deadlineGrace));
     exchange->timer.async_wait([self = shared_from_this(), exchange](error_code error) {
         if (!error)
             self->onDeadline(exchange);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -23,12 +23,13 @@
     size_t maxConnections = 4; // requests beyond it wait in order until their deadline
     size_t maxBodyBytes = 4UL * 1024 * 1024; // a larger answer fails with BodyTooLarge
     Duration connectTimeout = milliseconds(1000);
-    Duration idleTimeout = seconds(30);   // a kept connection unused for longer is closed
+    Duration idleTimeout = seconds(30); // a kept connection unused for longer is closed
+    // Time after a deadline in which an answer is still read if this process was late itself.
+    Duration deadlineGrace = Duration::zero();
     Traffic traffic = Traffic::HttpOther; // what its bytes are counted as
 };
 
-constexpr Duration maxTimerLateness = milliseconds(50);  // of a process that runs as it should
-constexpr Duration maxDeadlineGrace = milliseconds(500); // to read answers after a pause
+constexpr Duration maxTimerLateness = milliseconds(50); // of a process that runs as it should
 
 // The answer, complete, or a failure. Failures that mean "certainly not sent": ConnectionRefused
 // (no connection, or the kept connection was found closed before any byte was written),
@@ -50,7 +51,7 @@
     ~Client(); // fails what is under way with ConnectionLost
 
     // Sends `request`; calls `callback` exactly once on a thread of the io_context, at `deadline`
-    // at the latest, or up to `maxDeadlineGrace` later if this process was late itself. Nothing is
+    // at the latest, or up to `deadlineGrace` later if this process was late itself. Nothing is
     // retried.
     // Returns the number of the request, for giveUp().
     uint64_t send(Request request, TimePoint deadline, ResponseCallback callback,
