Show that a restarted runner gets a lease longer than the owner counts with

A start that reaches the new life of a runner carries a deadline on the old life's clock. The runner shortens it to holdMaxMs, 10 s; the owner counts with 4.6 s and starts the task elsewhere while the first run goes on.

Shown with a script: one of 8 runners crashes and starts again under its id, and is cut off 1 s after it has started a task.

--- a/review/standins/cases.cpp
+++ b/review/standins/cases.cpp
@@ -4,6 +4,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <cstdlib>
+
 namespace review {
 
 namespace {
@@ -22,6 +24,13 @@
     return ledger.brokenCount(rule) > 0 ? broke : held;
 }
 
+// `point` tells the places in this file apart.
+int cannotRun(Ledger &ledger, int point)
+{
+    ledger.note(absl::StrCat("the case could not run, point ", point));
+    return notRun;
+}
+
 std::vector<RunnerShape> runnersOf(size_t count, RunnerShape shape)
 {
     return std::vector<RunnerShape>(count, std::move(shape));
@@ -36,10 +45,10 @@
     constexpr int64_t silence = 4200;
     Cell cell(ledger);
     if (!cell.open(3, runnersOf(2, {.service = "draw", .cpu = 64000, .memMb = 262144})))
-        return notRun;
+        return cannotRun(ledger, 1);
     const std::string job = "00000000000000a1";
     if (!cell.submit(job, {{.count = 3000, .cpu = 1000, .memMb = 2000, .estimateMs = 300}}, 300))
-        return notRun;
+        return cannotRun(ledger, 2);
     pause(1000);
     if (hasTrouble) {
         ledger.note("the store is silent");
@@ -54,7 +63,7 @@
                              ledger.doneTasks(job), " tasks done, ", ledger.starts(job),
                              " starts"));
     if (!isOver && !hasTrouble)
-        return notRun;
+        return cannotRun(ledger, 3);
     pause(500);
     ledger.judgeTwice();
     return verdict(ledger, "TWICE");
@@ -66,22 +75,22 @@
 {
     Cell cell(ledger);
     if (!cell.open(3, runnersOf(8, {.service = "draw", .cpu = 16000, .memMb = 65536})))
-        return notRun;
+        return cannotRun(ledger, 4);
     pause(2000);
     Runner &runner = cell.runner(3);
     if (hasTrouble) {
         cell.onStandins([&] { runner.crash(); });
         pause(50);
-        if (!cell.onStandins([&] { return runner.startAgain(runner.shape()); }))
-            return notRun;
+        if (!cell.repeat([&] { return runner.startAgain(runner.shape()); }))
+            return cannotRun(ledger, 5);
     }
     const std::string job = "00000000000000b1";
     if (!cell.submit(job, {{.count = 8, .cpu = 1500, .memMb = 5600, .antiAffinity = 1}}, 120))
-        return notRun;
+        return cannotRun(ledger, 6);
     const bool isOver =
             cell.waitUntil(seconds(30), [&] { return cell.state(0, job) == "completed"; });
     if (!isOver && !hasTrouble)
-        return notRun;
+        return cannotRun(ledger, 7);
     pause(1000);
     ledger.judgeTwice();
     return verdict(ledger, "TWICE");
@@ -98,7 +107,7 @@
     shapes[5].labels = {"b"};
     Cell cell(ledger);
     if (!cell.open(3, shapes))
-        return notRun;
+        return cannotRun(ledger, 8);
     pause(1000);
     const int64_t began = ledger.now();
     if (hasTrouble) {
@@ -109,7 +118,7 @@
     for (size_t number = 0; number < jobs; ++number) {
         const std::string id = absl::StrCat("00000000000000c", absl::Hex(number));
         if (!cell.submit(id, {{.count = 1, .cpu = 1000, .memMb = 1000, .label = "b"}}, 100))
-            return notRun;
+            return cannotRun(ledger, 9);
         accepted.emplace_back(id, ledger.now());
     }
     while (ledger.now() - began < unhealthyTime - 100) {
@@ -140,6 +149,62 @@
     return verdict(ledger, "MIXED");
 }
 
+// A runner crashes and is started again under its id 50 ms later; a long task comes in and has room
+// on it alone. One second later the runner is cut off for 5.5 s and runs on.
+int longLease(Ledger &ledger, bool hasTrouble)
+{
+    constexpr int64_t cutTime = 5500;
+    Cell cell(ledger);
+    if (!cell.open(
+                3,
+                runnersOf(8,
+                          {.service = "draw", .cpu = 64000, .memMb = 131072, .holdMaxMs = 10000})))
+        return cannotRun(ledger, 10);
+    pause(1500);
+    const std::string others = "00000000000000e1";
+    if (!cell.submit(others, {{.count = 7, .cpu = 64000, .memMb = 9000, .estimateMs = 4000}}, 4000)
+        || !cell.waitUntil(seconds(3), [&] { return ledger.starts(others) == 7; }))
+        return cannotRun(ledger, 11);
+    Runner *idle = nullptr;
+    for (size_t index = 0; index < cell.runners(); ++index) {
+        if (cell.onStandins([&] { return cell.runner(index).running(); }) == 0)
+            idle = &cell.runner(index);
+    }
+    if (!idle)
+        return cannotRun(ledger, 12);
+    // CRASH=0 leaves out the first of the two disruptions only.
+    const char *const crash = std::getenv("CRASH");
+    if (hasTrouble && !(crash && std::string(crash) == "0")) {
+        cell.onStandins([&] { idle->crash(); });
+        pause(50);
+        if (!cell.repeat([&] { return idle->startAgain(idle->shape()); }))
+            return cannotRun(ledger, 13);
+    }
+    const std::string job = "00000000000000e2";
+    if (!cell.submit(job, {{.count = 1, .cpu = 13000, .memMb = 9000, .estimateMs = 11000}}, 11000))
+        return cannotRun(ledger, 14);
+    if (!cell.waitUntil(seconds(10), [&] { return ledger.hasBegun(job); }))
+        return cannotRun(ledger, 15);
+    pause(1000);
+    if (hasTrouble) {
+        cell.onStandins([&] { idle->cutOff(); });
+        ledger.note(idle->life() + " is cut off and runs on");
+        pause(cutTime - 50);
+        cell.onStandins([&] { idle->closeConnections(); });
+        pause(50);
+        if (!cell.repeat([&] { return idle->reconnect(); }))
+            return cannotRun(ledger, 16);
+        ledger.note(idle->life() + " is reached again");
+    }
+    const bool isOver =
+            cell.waitUntil(seconds(60), [&] { return cell.state(0, job) == "completed"; });
+    if (!isOver && !hasTrouble)
+        return cannotRun(ledger, 17);
+    pause(500);
+    ledger.judgeTwice();
+    return verdict(ledger, "TWICE");
+}
+
 // Runners are busy. One of eight crashes again and again and is started again under its id as a
 // machine of the other kind, with half the room or all of it.
 int otherKind(Ledger &ledger, bool hasTrouble)
@@ -149,11 +214,11 @@
     const RunnerShape half = {.service = "draw", .cpu = 8000, .memMb = 32768};
     Cell cell(ledger);
     if (!cell.open(3, runnersOf(8, whole)))
-        return notRun;
+        return cannotRun(ledger, 18);
     for (int number = 0; number < 9; ++number) {
         if (!cell.submit(absl::StrCat("00000000000000d", number),
                          {{.count = 2000, .cpu = 1000, .memMb = 2000, .estimateMs = 400}}, 400))
-            return notRun;
+            return cannotRun(ledger, 19);
     }
     pause(2000);
     for (int round = 0; round < rounds; ++round) {
@@ -162,8 +227,8 @@
             cell.onStandins([&] { runner.crash(); });
             pause(300 + round * 17 % 150);
             const RunnerShape &next = round % 2 == 0 ? half : whole;
-            if (!cell.onStandins([&] { return runner.startAgain(next); }))
-                return notRun;
+            if (!cell.repeat([&] { return runner.startAgain(next); }))
+                return cannotRun(ledger, 20);
         }
         pause(3000);
     }
--- a/review/standins/cases.h
+++ b/review/standins/cases.h
@@ -13,6 +13,7 @@
 int manyEnds(Ledger &ledger, bool hasTrouble);
 int endsOfNewLife(Ledger &ledger, bool hasTrouble);
 int pendingJobs(Ledger &ledger, bool hasTrouble);
+int longLease(Ledger &ledger, bool hasTrouble);
 int otherKind(Ledger &ledger, bool hasTrouble);
 
 } // namespace review
--- a/review/standins/cell.cpp
+++ b/review/standins/cell.cpp
@@ -103,6 +103,12 @@
     return true;
 }
 
+// The port of a life that has just ended may still be in use for a moment.
+bool Cell::repeat(const std::function<bool()> &action)
+{
+    return waitUntil(std::chrono::seconds(1), [&] { return onStandins(action); });
+}
+
 // The settings are the deploy file's template, filled in for this instance.
 bool Cell::startMember(size_t index)
 {
@@ -118,7 +124,9 @@
             ", \"callersAddress\": \"", member.callers, "\", \"readinessAddress\": \"",
             member.readiness, "\", \"platform\": \"127.0.0.1:", m_store->port(),
             "\", \"metricsPort\": ", freePort(),
-            ", \"coreShare\": 0.25, \"maxDescriptors\": 4100, \"maxLeaseMs\": 6000, "
+            ", \"coreShare\": 0.25, \"maxDescriptors\": 4100, \"maxLeaseMs\": ",
+            m_runners.front()->shape().holdMaxMs,
+            ", "
             "\"stopGraceMs\": 6000}\n");
     const std::string log = absl::StrCat(m_folder, "/member", index, ".log");
     const std::string variable = "CARAWAYLEDGE_CONFIG=" + member.settings;
--- a/review/standins/cell.h
+++ b/review/standins/cell.h
@@ -57,6 +57,8 @@
     std::string state(size_t member, const std::string &id);
     // `pending` of the queue as the member tells it, or -1.
     int64_t pending(size_t member);
+    // Repeats an action on the thread of the stand-ins until it succeeds, for a second.
+    bool repeat(const std::function<bool()> &action);
     bool waitUntil(std::chrono::milliseconds limit, const std::function<bool()> &condition);
 
     // Runs `action` on the thread of the stand-ins.
--- a/review/standins/main.cpp
+++ b/review/standins/main.cpp
@@ -13,9 +13,8 @@
 {
     using namespace review;
     const std::map<std::string, int (*)(Ledger &, bool)> cases = {
-            {"many-ends", manyEnds},
-            {"ends-of-new-life", endsOfNewLife},
-            {"pending-jobs", pendingJobs},
+            {"many-ends", manyEnds},       {"ends-of-new-life", endsOfNewLife},
+            {"pending-jobs", pendingJobs}, {"long-lease", longLease},
             {"other-kind", otherKind},
     };
     const auto found = argc == 3 ? cases.find(argv[1]) : cases.end();
--- a/review/standins/runner.cpp
+++ b/review/standins/runner.cpp
@@ -14,9 +14,10 @@
 namespace http = cwl::http;
 
 constexpr auto heartbeat = std::chrono::milliseconds(1500);
-constexpr int64_t holdMaxMs = 6000;
 constexpr size_t maxEndsListed = 500;
-constexpr int64_t firstClockMs = 1000; // of each life
+// The clock of a runner that has run for a while, and of one that has just started again.
+constexpr int64_t usualClockMs = 480000;
+constexpr int64_t newClockMs = 1000;
 
 std::chrono::milliseconds runTime(const std::string &spec)
 {
@@ -42,7 +43,7 @@
 
 bool Runner::open()
 {
-    return listen(0);
+    return beginLife(0);
 }
 
 bool Runner::listen(uint16_t port)
@@ -58,6 +59,13 @@
         return false;
     m_server = *std::move(server);
     m_port = m_server->port();
+    return true;
+}
+
+bool Runner::beginLife(uint16_t port)
+{
+    if (!listen(port))
+        return false;
     m_life = absl::StrCat(m_id, "/", ++m_lives);
     m_bornAt = std::chrono::steady_clock::now();
     m_born = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -91,6 +99,19 @@
 bool Runner::startAgain(const RunnerShape &shape)
 {
     m_shape = shape;
+    return beginLife(m_port);
+}
+
+void Runner::closeConnections()
+{
+    m_server.reset();
+    m_unread.clear();
+    m_waiting = nullptr;
+}
+
+bool Runner::reconnect()
+{
+    m_isCutOff = false;
     return listen(m_port);
 }
 
@@ -128,7 +149,7 @@
 
 int64_t Runner::clockMs() const
 {
-    return firstClockMs
+    return (m_lives == 1 ? usualClockMs : newClockMs)
             + std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now()
                                                                     - m_bornAt)
                       .count();
@@ -154,6 +175,10 @@
 
 void Runner::handle(const http::Request &request, const http::Responder &respond)
 {
+    if (m_isCutOff) {
+        m_unread.push_back(respond);
+        return;
+    }
     const auto body = cwl::parseJson(request.body);
     if (!body.ok())
         return answer(respond, 400, {});
@@ -184,7 +209,7 @@
 {
     if (!body.isMember("deadlineMs"))
         return;
-    const int64_t until = std::min(body["deadlineMs"].asInt64(), clockMs() + holdMaxMs);
+    const int64_t until = std::min(body["deadlineMs"].asInt64(), clockMs() + m_shape.holdMaxMs);
     m_leaseUntil = std::max(m_leaseUntil, until);
     checkLease();
 }
@@ -194,7 +219,7 @@
     const int64_t left = m_leaseUntil - clockMs();
     if (left <= 0) {
         while (!m_running.empty())
-            end(m_running.begin()->first, "lapsed");
+            end(std::string(m_running.begin()->first), "lapsed");
         return;
     }
     m_leaseTimer.expires_after(std::chrono::milliseconds(left));
@@ -327,7 +352,7 @@
 
 void Runner::answerWaiting()
 {
-    if (!m_waiting)
+    if (!m_waiting || m_isCutOff)
         return;
     const http::Responder respond = std::exchange(m_waiting, nullptr);
     m_waitTimer->cancel();
--- a/review/standins/runner.h
+++ b/review/standins/runner.h
@@ -26,7 +26,8 @@
     int64_t cpu = 16000;
     int64_t memMb = 65536;
     int64_t gpu = 0;
-    std::vector<std::string> labels;
+    std::vector<std::string> labels = {};
+    int64_t holdMaxMs = 6000;
 };
 
 class Runner
@@ -40,6 +41,12 @@
     void crash();
     // Starts a new life at the same address under the same id: it listens, then registers.
     bool startAgain(const RunnerShape &shape);
+    // Between this and reconnect() the runner is cut off: it runs on, but nothing that it is sent
+    // is read or answered.
+    void cutOff() { m_isCutOff = true; }
+    // Closes the connections that were cut; what was sent on them is lost.
+    void closeConnections();
+    bool reconnect();
     // An unhealthy runner answers starts with 503, does nothing, and goes on sending heartbeats.
     void setUnhealthy(bool isUnhealthy) { m_isUnhealthy = isUnhealthy; }
 
@@ -67,6 +74,7 @@
     };
 
     bool listen(uint16_t port);
+    bool beginLife(uint16_t port);
     void beat();
     std::string entry() const;
     void handle(const cwl::http::Request &request, const cwl::http::Responder &respond);
@@ -106,6 +114,8 @@
     int64_t m_token = 0;
     int64_t m_leaseUntil = 0;
     bool m_isUnhealthy = false;
+    bool m_isCutOff = false;
+    std::vector<cwl::http::Responder> m_unread;
 };
 
 } // namespace review
