--- a/review/standins/cell.cpp
+++ b/review/standins/cell.cpp
@@ -178,7 +178,13 @@
 {
     const CallerAnswer answer = call(m_members[member].callers, "GET", queuePath + id);
     const auto body = cwl::parseJson(answer.body);
-    return answer.status == 200 && body.ok() ? (*body)["state"].asString() : std::string();
+    const std::string told =
+            answer.status == 200 && body.ok() ? (*body)["state"].asString() : std::string();
+    const std::string line =
+            absl::StrCat("GET ", id, " from member ", member, ": ", answer.status, " ", told);
+    if (line != std::exchange(m_lastState, line))
+        m_ledger.note(line);
+    return told;
 }
 
 int64_t Cell::pending(size_t member)
--- a/review/standins/cell.h
+++ b/review/standins/cell.h
@@ -91,6 +91,7 @@
     std::unique_ptr<Store> m_store;
     std::vector<std::unique_ptr<Runner>> m_runners;
     std::vector<Member> m_members;
+    std::string m_lastState; // as noted
 };
 
 } // namespace review
--- a/review/standins/runner.cpp
+++ b/review/standins/runner.cpp
@@ -15,6 +15,7 @@
 
 constexpr auto heartbeat = std::chrono::milliseconds(1500);
 constexpr size_t maxEndsListed = 500;
+constexpr int64_t holdsNoted = 4; // of each life, in the record
 // The clock of a runner that has run for a while, and of one that has just started again.
 constexpr int64_t usualClockMs = 480000;
 constexpr int64_t newClockMs = 1000;
@@ -93,6 +94,7 @@
     m_lastEnd = 0;
     m_token = 0;
     m_leaseUntil = 0;
+    m_holds = 0;
     m_ledger.lifeEnded(m_life);
 }
 
@@ -170,6 +172,7 @@
 {
     Json::Value body;
     body["reason"] = reason;
+    m_ledger.note(absl::StrCat("409    ", m_life, " answers ", reason));
     answer(respond, 409, body);
 }
 
@@ -249,6 +252,9 @@
 {
     const std::string task = body["task"].asString();
     const int64_t attempt = body["attempt"].asInt64();
+    m_ledger.note(absl::StrCat("order  run-start ", task, " attempt ", attempt, " to ", m_life,
+                               ", deadlineMs ", body["deadlineMs"].asInt64(), ", its clock ",
+                               clockMs(), ", fencingToken ", m_token));
     if (body["deadlineMs"].asInt64() <= clockMs())
         return refuse(respond, "late");
     extend(body);
@@ -279,6 +285,7 @@
 {
     const std::string task = body["task"].asString();
     const int64_t attempt = body["attempt"].asInt64();
+    m_ledger.note(absl::StrCat("order  run-stop ", task, " attempt ", attempt, " to ", m_life));
     int64_t &ended = m_endedAttempts[task];
     ended = std::max(ended, attempt);
     const auto running = m_running.find(task);
@@ -333,6 +340,11 @@
 {
     extend(body);
     const int64_t cursor = body.get("ackCursor", 0).asInt64();
+    if (++m_holds <= holdsNoted || cursor > m_lastEnd)
+        m_ledger.note(absl::StrCat(
+                "hold   ", m_life, ", ackCursor ", cursor, " of ", m_lastEnd, " ends, deadlineMs ",
+                body.isMember("deadlineMs") ? body["deadlineMs"].asString() : std::string("none"),
+                ", its clock ", clockMs()));
     while (!m_ended.empty() && m_ended.front().number <= cursor) {
         m_ledger.takenNoteOf(m_life, m_ended.front().number);
         m_ended.pop_front();
--- a/review/standins/runner.h
+++ b/review/standins/runner.h
@@ -111,6 +111,7 @@
     int64_t m_born = 0; // Unix milliseconds
     int64_t m_sequence = 0;
     int64_t m_lastEnd = 0;
+    int64_t m_holds = 0;
     int64_t m_token = 0;
     int64_t m_leaseUntil = 0;
     bool m_isUnhealthy = false;
