Lose eight ends instead of one in case 2

The first two jobs let the owner acknowledge ten ends of the runner, so all eight ends of its new life are forgotten.

--- a/review/standins/cases.cpp
+++ b/review/standins/cases.cpp
@@ -69,13 +69,19 @@
     return verdict(ledger, "TWICE");
 }
 
-// One of eight runners crashes and is started again under its id 50 ms later. A job of one short
-// task a runner comes in right after that.
+// One of eight runners crashes and is started again under its id 50 ms later. A job of eight
+// short tasks a runner comes in right after that.
 int endsOfNewLife(Ledger &ledger, bool hasTrouble)
 {
     Cell cell(ledger);
     if (!cell.open(3, runnersOf(8, {.service = "draw", .cpu = 16000, .memMb = 65536})))
         return cannotRun(ledger, 4);
+    const std::vector<JobStep> steps = {
+            {.count = 64, .cpu = 1500, .memMb = 5600, .antiAffinity = 8}};
+    const std::string earlier = "00000000000000b0";
+    if (!cell.submit(earlier, steps, 120)
+        || !cell.waitUntil(seconds(20), [&] { return cell.state(0, earlier) == "completed"; }))
+        return notRun;
     pause(2000);
     Runner &runner = cell.runner(3);
     if (hasTrouble) {
@@ -85,7 +91,7 @@
             return cannotRun(ledger, 5);
     }
     const std::string job = "00000000000000b1";
-    if (!cell.submit(job, {{.count = 8, .cpu = 1500, .memMb = 5600, .antiAffinity = 1}}, 120))
+    if (!cell.submit(job, steps, 120))
         return cannotRun(ledger, 6);
     const bool isOver =
             cell.waitUntil(seconds(30), [&] { return cell.state(0, job) == "completed"; });
