Poll a worker on a new connection only to identify its process

Cause: numbers of ends and the clock start anew with each process of a worker, but every poll carried the cursor of the last known one. The new process forgot its first ends as acknowledged, and the owner took their runs for lost.

Change: a connection ends with the process that accepted it. http::Client::send() takes a maker of the request, which gets the time at which the connection was opened. A poll on a connection newer than the last report asks which process answers: no cursor, no lease, no wait. The next poll on it carries both. That holds for kept and shared connections, and whether or not a poll was under way during the restart. worker_restarted names the earlier process and its cursor, and cwl_cell_identifications_total counts these polls.

--- a/src/cell/owner.cpp
+++ b/src/cell/owner.cpp
@@ -55,6 +55,9 @@
     , m_predecessorTimer(context)
     , m_startsSent(metrics.counter("cwl_cell_starts_total", "Start orders sent to workers."))
     , m_reportsSeen(metrics.counter("cwl_cell_reports_total", "Reports received from workers."))
+    , m_identifications(metrics.counter("cwl_cell_identifications_total",
+                                        "Polls on new connections, which only ask which process "
+                                        "of a worker answers."))
     , m_takeovers(metrics.counter("cwl_cell_takeovers_total", "Times this member became owner."))
     , m_decideTime(metrics.histogram("cwl_cell_decide_seconds", "Time of one decision."))
     , m_commitTime(metrics.histogram("cwl_cell_store_write_seconds",
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -148,8 +148,7 @@
     // Section: polls of workers (ownerwatch.cpp)
     void watch(const WorkerId &id);
     void sendWatch(const std::shared_ptr<Watch> &entry);
-    void onWatched(const std::shared_ptr<Watch> &entry, TimePoint sentAt,
-                   const WatchResult &result);
+    void onWatched(const std::shared_ptr<Watch> &entry, const WatchResult &result);
     void resumeWatches();
     void expediteWatch(const WorkerId &id);
     Duration overloadPause() const;
@@ -200,6 +199,7 @@
 
     metrics::Counter &m_startsSent;
     metrics::Counter &m_reportsSeen;
+    metrics::Counter &m_identifications;
     metrics::Counter &m_takeovers;
     metrics::Histogram &m_decideTime;
     metrics::Histogram &m_commitTime;
--- a/src/cell/ownerwatch.cpp
+++ b/src/cell/ownerwatch.cpp
@@ -48,19 +48,18 @@
     const Duration wait = waits ? watchWait : Duration::zero();
     m_gateway.watch(entry->target, order, m_ownership.epoch(), wait, entry->keepsConnection,
                     now + wait + watchResponseMargin,
-                    [this, alive = m_alive, term = m_term, entry, now,
+                    [this, alive = m_alive, term = m_term, entry,
                      address = entry->target.address](const WatchResult &result) {
                         if (!*alive || term != m_term || checkFenced(result.answer))
                             return;
                         if (result.answer == jobs::OrderAnswer::WrongWorker
                             && address == entry->target.address)
                             m_dispatcher.onWorkerReplaced(entry->id, BootClock::now());
-                        onWatched(entry, now, result);
+                        onWatched(entry, result);
                     });
 }
 
-void Owner::onWatched(const std::shared_ptr<Watch> &entry, TimePoint sentAt,
-                      const WatchResult &result)
+void Owner::onWatched(const std::shared_ptr<Watch> &entry, const WatchResult &result)
 {
     const TimePoint now = BootClock::now();
     const jobs::Worker *const worker = m_dispatcher.findWorker(entry->id);
@@ -80,9 +79,19 @@
     if (std::exchange(entry->isUnreachable, false))
         log::info("worker_reachable", {{"worker", entry->id.value()}});
     m_reportsSeen.add();
-    m_dispatcher.onReport(entry->id, result.report, sentAt, now);
+    if (result.isIdentification)
+        m_identifications.add();
+    m_dispatcher.onReport(entry->id, result.report, result.sentAt, now);
     scheduleDecision();
+    // The lease and the acknowledgements follow an identification at once. Where every poll needs a
+    // new connection the pause still applies, so that such a worker is not polled without rest.
+    const bool wasIdentification = std::exchange(entry->wasIdentification, result.isIdentification);
     if (worker->completionsProcessed == worker->completionsAcknowledged) {
+        if (result.isIdentification && !wasIdentification
+            && (!worker->runs.empty() || !result.report.ended.empty())) {
+            sendWatch(entry);
+            return;
+        }
         const Duration pause = !entry->keepsConnection
                 ? (worker->runs.empty() ? idlePollInterval : sharedPollInterval)
                 : overloadPause();
--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -92,6 +92,8 @@
 {
     jobs::OrderAnswer answer = jobs::OrderAnswer::Unknown; // Accepted: `report` holds
     jobs::WorkerReport report = {};
+    TimePoint sentAt = {};         // when the poll was written to its connection
+    bool isIdentification = false; // the poll only asked which process answers; see watch()
 };
 
 class WorkerGateway
@@ -108,7 +110,10 @@
     virtual void pace(const jobs::PaceOrder &order, Epoch epoch, TimePoint deadline,
                       OrderCallback callback) = 0;
     // Calls back when a run ends, or after `wait`. The connection is kept for the next poll of the
-    // worker if `keepsConnection`, else it is shared with orders and other workers.
+    // worker if `keepsConnection`, else it is shared with orders and other workers. A connection
+    // that was opened after the last report may lead to another process of the worker. The poll on
+    // it acknowledges nothing, renews no lease and does not wait; its report tells which process
+    // answers, and the next poll on that connection does the rest.
     virtual void watch(const WorkerTarget &target, const jobs::WatchOrder &order, Epoch epoch,
                        Duration wait, bool keepsConnection, TimePoint deadline,
                        WatchCallback callback) = 0;
--- a/src/cell/watch.h
+++ b/src/cell/watch.h
@@ -24,6 +24,7 @@
     bool isPaused = false; // no poll is in flight; the timer sends the next one
     bool isWaitingForWrite = false;
     bool isUnreachable = false;
+    bool wasIdentification = false; // the last poll
     TimePoint waitingSince = {};
 };
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -31,6 +31,12 @@
 
 constexpr uint32_t maxAnswerHeaderBytes = 64 * 1024;
 
+absl::Status unusableRequest()
+{
+    return makeError(Failure::ProtocolError,
+                     "the request has a method, path or header that HTTP cannot carry");
+}
+
 } // namespace
 
 class Client::Implementation : public std::enable_shared_from_this<Client::Implementation>
@@ -44,6 +50,7 @@
     }
 
     uint64_t send(Request request, TimePoint deadline, ResponseCallback callback, SendGuard guard);
+    uint64_t send(RequestMaker maker, TimePoint deadline, ResponseCallback callback);
     void giveUp(uint64_t request);
     void closeAll();
     void shutDown();
@@ -53,6 +60,7 @@
     using LinkPointer = std::shared_ptr<Link>;
     using ExchangePointer = std::shared_ptr<Exchange>;
 
+    uint64_t post(ExchangePointer exchange);
     void enqueue(const ExchangePointer &exchange);
     void serveQueue();
     LinkPointer takeIdleLink();
@@ -62,6 +70,7 @@
     void closeIdle();
     void connect();
     void onConnected(const LinkPointer &link, error_code error);
+    bool makeRequest(const LinkPointer &link, const ExchangePointer &exchange);
     void assign(const LinkPointer &link, const ExchangePointer &exchange);
     void onWritten(const LinkPointer &link, error_code error, size_t bytes);
     void readAnswer(const LinkPointer &link);
@@ -87,17 +96,27 @@
 uint64_t Client::Implementation::send(Request request, TimePoint deadline,
                                       ResponseCallback callback, SendGuard guard)
 {
-    const uint64_t id = ++m_lastId;
-    std::optional<BeastRequest> message = toBeast(std::move(request), m_options.address);
-    if (!message) {
-        asio::post(m_strand, [callback = std::move(callback)] {
-            callback(makeError(Failure::ProtocolError,
-                               "the request has a method, path or header that HTTP cannot carry"));
-        });
-        return id;
+    auto exchange = std::make_shared<Exchange>(m_strand, deadline, std::move(callback));
+    exchange->request = toBeast(std::move(request), m_options.address);
+    exchange->guard = std::move(guard);
+    if (!exchange->request) {
+        asio::post(m_strand, [exchange] { exchange->finish(unusableRequest()); });
+        return ++m_lastId;
     }
-    auto exchange = std::make_shared<Exchange>(m_strand, *std::move(message), deadline,
-                                               std::move(callback), std::move(guard));
+    return post(std::move(exchange));
+}
+
+uint64_t Client::Implementation::send(RequestMaker maker, TimePoint deadline,
+                                      ResponseCallback callback)
+{
+    auto exchange = std::make_shared<Exchange>(m_strand, deadline, std::move(callback));
+    exchange->maker = std::move(maker);
+    return post(std::move(exchange));
+}
+
+uint64_t Client::Implementation::post(ExchangePointer exchange)
+{
+    const uint64_t id = ++m_lastId;
     exchange->id = id;
     asio::post(m_strand, [self = shared_from_this(), exchange] { self->enqueue(exchange); });
     return id;
@@ -161,7 +180,12 @@
             break;
         const ExchangePointer exchange = m_waiting.front();
         m_waiting.pop_front();
-        assign(link, exchange);
+        if (makeRequest(link, exchange)) {
+            assign(link, exchange);
+        } else {
+            m_idle.push_back(link);
+            exchange->finish(unusableRequest());
+        }
     }
     while (connecting() < m_waiting.size() && m_links.size() < m_options.maxConnections)
         connect();
@@ -257,6 +281,7 @@
     }
     error_code ignored;
     link->socket.set_option(tcp::no_delay(true), ignored);
+    link->openedAt = BootClock::now();
     ++m_open;
     rest(link);
 }
@@ -297,6 +322,13 @@
 
 // Section: one exchange on a connection
 
+bool Client::Implementation::makeRequest(const LinkPointer &link, const ExchangePointer &exchange)
+{
+    if (!exchange->request)
+        exchange->request = toBeast(exchange->maker(link->openedAt), m_options.address);
+    return exchange->request.has_value();
+}
+
 void Client::Implementation::assign(const LinkPointer &link, const ExchangePointer &exchange)
 {
     link->timer.cancel();
@@ -305,7 +337,7 @@
     link->exchange = exchange;
     link->hasWriteFailed = false;
     beast::http::async_write(
-            link->socket, exchange->request,
+            link->socket, *exchange->request,
             [self = shared_from_this(), link, exchange](error_code error, size_t bytes) {
                 if (link->exchange == exchange)
                     self->onWritten(link, error, bytes);
@@ -334,7 +366,7 @@
     link->parser.emplace();
     link->parser->header_limit(maxAnswerHeaderBytes);
     link->parser->body_limit(m_options.maxBodyBytes);
-    if (link->exchange->request.method() == beast::http::verb::head)
+    if (link->exchange->request->method() == beast::http::verb::head)
         link->parser->skip(true);
     // The header is read on its own: Beast 1.74 overlooks a stated length above the limit when it
     // parses header and body in one step.
@@ -463,6 +495,11 @@
                                   std::move(guard));
 }
 
+uint64_t Client::send(RequestMaker maker, TimePoint deadline, ResponseCallback callback)
+{
+    return m_implementation->send(std::move(maker), deadline, std::move(callback));
+}
+
 void Client::giveUp(uint64_t request)
 {
     m_implementation->giveUp(request);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -42,6 +42,12 @@
 // It may have waited for a connection, in which time the right to send it may have ended.
 using SendGuard = std::function<bool()>;
 
+// Makes a request for the connection that it is written to, right before that, on a thread of the
+// io_context. `openedAt` is when the connection was opened. A connection ends with the process that
+// accepted it, so a request for the process that has answered before can be told from one that may
+// meet another process at the same address.
+using RequestMaker = std::function<Request(TimePoint openedAt)>;
+
 class Client
 {
 public:
@@ -57,6 +63,9 @@
     uint64_t send(Request request, TimePoint deadline, ResponseCallback callback,
                   SendGuard guard = {});
 
+    // As above, for a request that depends on the connection.
+    uint64_t send(RequestMaker maker, TimePoint deadline, ResponseCallback callback);
+
     // Ends a request under way as its deadline would. Also closes the idle connections, because
     // they may have gone silent with the one that the request used. Does nothing if the request has
     // ended.
--- a/src/http/link.h
+++ b/src/http/link.h
@@ -27,18 +27,16 @@
 // One request on its way. Ends when the callback has been called.
 struct Exchange
 {
-    Exchange(const Strand &strand, BeastRequest requestMessage, TimePoint requestDeadline,
-             ResponseCallback responseCallback, SendGuard sendGuard)
-        : request(std::move(requestMessage))
-        , deadline(requestDeadline)
+    Exchange(const Strand &strand, TimePoint requestDeadline, ResponseCallback responseCallback)
+        : deadline(requestDeadline)
         , callback(std::move(responseCallback))
-        , guard(std::move(sendGuard))
         , timer(strand)
     {
     }
 
-    uint64_t id = 0; // within its client
-    BeastRequest request;
+    uint64_t id = 0;                     // within its client
+    std::optional<BeastRequest> request; // none: `maker` makes it
+    RequestMaker maker;
     TimePoint deadline;
     ResponseCallback callback; // empty once called
     SendGuard guard;           // may be empty
@@ -66,6 +64,7 @@
     boost::asio::ip::tcp::socket socket;
     boost::asio::steady_timer timer; // connect timeout, then idle timeout
     LinkState state = LinkState::Connecting;
+    TimePoint openedAt = {};
     uint64_t uses = 0; // tells the idle periods of one connection apart
     std::shared_ptr<Exchange> exchange = {};
     boost::beast::flat_buffer buffer = {};
--- a/src/jobs/advice.cpp
+++ b/src/jobs/advice.cpp
@@ -225,7 +225,7 @@
         newAllowed += step->advice.responses[entry.worker.value()] ? 0 : 1;
         step->advice.responses[entry.worker.value()] = true;
         step->advice.allowed[entry.worker.value()] = {entry.ticket, now + validity - ticketMargin,
-                                                      worker->born};
+                                                      worker->incarnation.born};
     }
     if (newResponses > 0) {
         double &share =
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -142,6 +142,7 @@
     Worker &worker = *m_workers.at(id.value());
     WatchOrder order;
     order.acknowledged = worker.completionsAcknowledged;
+    order.incarnation = worker.incarnation;
     // A renewal may take effect even if its response is lost, so it would postpone the expiry of
     // the lease.
     if (worker.hasReported && !worker.lastPollFailed)
@@ -445,7 +446,7 @@
     for (const auto &[id, worker] : m_workers) {
         if (worker->completionsProcessed > worker->completionsAcknowledged)
             batch.completions.push_back(
-                    {worker->entry.id, worker->born, worker->completionsProcessed});
+                    {worker->entry.id, worker->incarnation.born, worker->completionsProcessed});
     }
     return batch;
 }
@@ -476,7 +477,7 @@
     }
     for (const Batch::WorkerCompletions &entry : batch.completions) {
         const auto worker = m_workers.find(entry.worker.value());
-        if (worker != m_workers.end() && worker->second->born == entry.born)
+        if (worker != m_workers.end() && worker->second->incarnation.born == entry.born)
             worker->second->completionsAcknowledged =
                     std::max(worker->second->completionsAcknowledged, entry.processed);
     }
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -110,11 +110,13 @@
     std::vector<AdviceQuery> queries = {};
 };
 
-// A poll of a worker that renews its lease.
+// A poll of a worker that renews its lease. Numbers of completions and the clock start anew with
+// each process of the worker, so another process than `incarnation` must get neither of them.
 struct WatchOrder
 {
     int64_t acknowledged = 0;                 // completions up to it are stored
     std::optional<int64_t> leaseUntilMs = {}; // on the worker's clock; none before its first report
+    Incarnation incarnation = {};
 };
 
 struct AllowedWorker
@@ -179,6 +181,7 @@
 
     // Section: events. Reports of one worker come in the order of their polls.
 
+    // `sentAt`: when the poll was written to its connection.
     void onReport(const WorkerId &id, const WorkerReport &report, TimePoint sentAt, TimePoint now);
     void onPollFailed(const WorkerId &id); // later polls renew no lease until one succeeds
     // Another worker responds at its address, which is given away only after a worker has ended.
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -242,7 +242,7 @@
 {
     const auto ticket = step.advice.allowed.find(worker.entry.id.value());
     if (ticket == step.advice.allowed.end() || now >= ticket->second.expires
-        || ticket->second.born != worker.born)
+        || ticket->second.born != worker.incarnation.born)
         return nullptr;
     return &ticket->second;
 }
--- a/src/jobs/runs.cpp
+++ b/src/jobs/runs.cpp
@@ -268,7 +268,11 @@
 {
     worker.restartSeenAt = now;
     log::warn("worker_restarted",
-              {{"worker", worker.entry.id.value()}, {"born", born}, {"runs", worker.runs.size()}});
+              {{"worker", worker.entry.id.value()},
+               {"born", born},
+               {"earlier", worker.incarnation.born},
+               {"acknowledged", worker.completionsAcknowledged},
+               {"runs", worker.runs.size()}});
     worker.completionsProcessed = 0;
     worker.completionsAcknowledged = 0;
     worker.slowness = 1;
@@ -388,10 +392,11 @@
     if (found == m_workers.end())
         return;
     Worker &worker = *found->second;
-    if (worker.born != 0 && report.born != 0 && report.born != worker.born)
+    if (worker.incarnation.born != 0 && report.born != 0 && report.born != worker.incarnation.born)
         onRestart(worker, report.born, now);
     if (report.born != 0)
-        worker.born = report.born;
+        worker.incarnation.born = report.born;
+    worker.incarnation.confirmedAt = sentAt;
     if (!worker.hasReported) {
         worker.hasReported = true;
         log::debug("worker_read", {{"worker", id.value()}, {"running", report.running.size()}});
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -126,7 +126,7 @@
     Resources used = {};
     Millicores backfillUsed = {};
     bool lastPollFailed = false;
-    int64_t born = 0;             // last reported start time
+    Incarnation incarnation = {}; // that sent the last report
     TimePoint restartSeenAt = {}; // when this owner saw it restart; zero: never
     int64_t clockMs = 0;          // the worker's clock, read ...
     TimePoint clockReadAt = {};   // ... at this instant or earlier
--- a/src/jobs/types.h
+++ b/src/jobs/types.h
@@ -141,6 +141,15 @@
     std::string checkpoint = {};
 };
 
+// The process of a worker that sent its last report. It is another one after a restart, under the
+// same id and at the same address. A connection ends with its process, so one that was opened by
+// `confirmedAt` leads to this process or nowhere.
+struct Incarnation
+{
+    int64_t born = 0;           // as reported
+    TimePoint confirmedAt = {}; // when the poll of the last report was sent; zero: no report yet
+};
+
 // A worker's response to a poll.
 struct WorkerReport
 {
--- a/tests/usersplatform/cell_test.cpp
+++ b/tests/usersplatform/cell_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(malformedBodiesEndNoMember);
     CPPUNIT_TEST(malformedAnswersEndNoMember);
     CPPUNIT_TEST(bodiesAboveTheConfiguredLimitAreRefused);
+    CPPUNIT_TEST(endsOfARestartedWorkerAreRead);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<Deployment> m_deployment;
@@ -78,6 +79,20 @@
 
     std::string nextJob() { return absl::StrFormat("%016x", ++m_lastJob); }
 
+    // One step, whose tasks need a worker with `label`.
+    static std::string labelledJobBody(int tasks, const std::string &label)
+    {
+        Json::Value body;
+        body["spec"] = "text";
+        Json::Value &phase = body["phases"][0];
+        phase["count"] = tasks;
+        phase["cpu"] = 1000;
+        phase["memMb"] = 100;
+        phase["estRuntimeMs"] = 150;
+        phase["requires"] = label;
+        return writeJson(body);
+    }
+
     static std::string jobBody(int steps)
     {
         Json::Value body;
@@ -97,16 +112,35 @@
 
     // Hands a job in, at one member after the other, as clients do after an answer that tells
     // nothing.
-    std::string submit(int steps = 2)
+    std::string submitBody(const std::string &body)
     {
         const std::string id = nextJob();
         size_t next = size_t(m_lastJob);
         waitFor("the acceptance of " + id, [&] {
-            return status(member(next++ % members).callers, "POST", "/draw/" + id, jobBody(steps))
-                    == 200;
+            return status(member(next++ % members).callers, "POST", "/draw/" + id, body) == 200;
         });
         return id;
     }
+    std::string submit(int steps = 2) { return submitBody(jobBody(steps)); }
+
+    void setWorker(size_t index, int64_t cores, const std::vector<std::string> &labels)
+    {
+        onStandins([&] {
+            Worker &worker = m_deployment->worker(index);
+            worker.cores = cores;
+            worker.labels = labels;
+            m_deployment->store().put("servers", worker.id(),
+                                      worker.entry(m_deployment->workerLink(index).port()));
+        });
+    }
+
+    void restartWorker(size_t index, Duration downTime)
+    {
+        onStandins([&] { m_deployment->worker(index).crash(); });
+        std::this_thread::sleep_for(downTime);
+        CPPUNIT_ASSERT(onStandins([&] { return m_deployment->worker(index).startAgain(); }).ok());
+        setWorker(index, m_deployment->worker(index).cores, m_deployment->worker(index).labels);
+    }
 
     void waitForState(const std::string &id, const std::string &wanted)
     {
@@ -378,6 +412,21 @@
                 413, status(member(0).callers, "POST", "/draw/" + nextJob(), writeJson(body)));
     }
 
+    // Guards against the fault of review/2: the first poll of a restarted worker carried the cursor
+    // of its earlier process, so the worker forgot ends that nobody had read, and their tasks were
+    // run again.
+    void endsOfARestartedWorkerAreRead()
+    {
+        const std::string earlier = submitBody(labelledJobBody(60, "a"));
+        waitForState(earlier, "completed");
+        waitFor("the acknowledgement of its ends", [this] {
+            return onStandins([this] { return m_deployment->ledger().acknowledged == 60; });
+        });
+        restartWorker(0, milliseconds(50));
+        waitForState(submitBody(labelledJobBody(12, "a")), "completed");
+        assertNothingBroken();
+    }
+
     // Guards against requests that are held until their clients give up while no member reaches
     // the store, although nothing more can be done for them.
     void silentStoreIsAnsweredForSoon()
--- a/tests/usersplatform/workers.cpp
+++ b/tests/usersplatform/workers.cpp
@@ -5,12 +5,23 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+
 namespace cwl::usersplatform {
 
 namespace {
 
-constexpr int64_t bornAt = 1700000000000;
-constexpr int64_t clockOffset = 5000; // its clock shows another time than the owner's
+constexpr int64_t firstBorn = 1700000000000;
+constexpr int64_t firstClockOffset = 5000;  // its clock shows another time than the owner's
+constexpr int64_t newClockMs = 1000;        // the clock of a process that has just started again
+constexpr int64_t maxLeaseMs = 10000;       // a longer lease is shortened
+constexpr Json::ArrayIndex maxListed = 500; // ends in one response
+constexpr int64_t coresPerTask = 1000;
+
+int64_t bootClockMs()
+{
+    return std::chrono::duration_cast<milliseconds>(BootClock::now().time_since_epoch()).count();
+}
 
 } // namespace
 
@@ -18,22 +29,69 @@
     : m_context(context)
     , m_id(std::move(id))
     , m_ledger(ledger)
+    , m_born(firstBorn)
+    , m_clockOffset(firstClockOffset)
     , m_leaseTimer(context)
 {
 }
 
 absl::Status Worker::open()
 {
+    http::ServerOptions options;
+    options.port = m_port;
     auto server = http::Server::create(
-            m_context, {}, [this](const http::Request &request, const http::Responder &respond) {
+            m_context, options,
+            [this](const http::Request &request, const http::Responder &respond) {
                 handle(request, respond);
             });
     if (!server.ok())
         return server.status();
     m_server = *std::move(server);
+    m_port = m_server->port();
     return absl::OkStatus();
 }
 
+void Worker::crash()
+{
+    m_server.reset();
+    m_leaseTimer.cancel();
+    if (m_waitTimer)
+        m_waitTimer->cancel();
+    m_waiting = nullptr;
+    for (auto &[task, run] : m_running) {
+        run.timer->cancel();
+        m_ledger.running.erase(task);
+    }
+    m_running.clear();
+    forgetUnacknowledged();
+    m_ended.clear();
+    m_endedAttempts.clear();
+    m_lastEnd = 0;
+    m_epoch = 0;
+    m_leaseUntil = 0;
+}
+
+absl::Status Worker::startAgain()
+{
+    ++m_born;
+    m_clockOffset = newClockMs - bootClockMs();
+    return open();
+}
+
+// An end counts as acknowledged only if its lease and its process last until then.
+void Worker::forgetUnacknowledged()
+{
+    for (const End &ended : m_ended) {
+        m_ledger.unacknowledgedDone[ended.task].erase(endName(ended.number));
+        m_ledger.startedAfter.erase(endName(ended.number));
+    }
+}
+
+std::string Worker::endName(int64_t number) const
+{
+    return absl::StrCat(m_id, "/", m_born, "/", number);
+}
+
 std::string Worker::entry(uint16_t port) const
 {
     Json::Value value;
@@ -41,25 +99,24 @@
     value["addr"] = absl::StrCat("127.0.0.1:", port);
     value["zone"] = "zone-a";
     value["state"] = "ready";
-    value["capacity"]["cpu"] = 4000;
+    value["capacity"]["cpu"] = Json::Int64(cores);
     value["capacity"]["memMb"] = 8000;
     value["capacity"]["gpu"] = 0;
-    value["labels"].append("a");
-    value["labels"].append("r1");
-    value["born"] = Json::Int64(bornAt);
+    for (const std::string &label : labels)
+        value["labels"].append(label);
+    value["born"] = Json::Int64(m_born);
     return writeJson(value);
 }
 
 int64_t Worker::clockMs() const
 {
-    return std::chrono::duration_cast<milliseconds>(BootClock::now().time_since_epoch()).count()
-            + clockOffset;
+    return bootClockMs() + m_clockOffset;
 }
 
 void Worker::answer(const http::Responder &respond, int status, Json::Value body) const
 {
     body["clockMs"] = Json::Int64(clockMs());
-    body["born"] = Json::Int64(bornAt);
+    body["born"] = Json::Int64(m_born);
     http::Response response;
     response.status = status;
     response.body = writeJson(body);
@@ -98,7 +155,8 @@
 {
     if (!body.isMember("deadlineMs"))
         return;
-    m_leaseUntil = std::max(m_leaseUntil, body["deadlineMs"].asInt64());
+    m_leaseUntil =
+            std::max(m_leaseUntil, std::min(body["deadlineMs"].asInt64(), clockMs() + maxLeaseMs));
     checkLease();
 }
 
@@ -106,6 +164,7 @@
 {
     const int64_t left = m_leaseUntil - clockMs();
     if (left <= 0) {
+        forgetUnacknowledged();
         while (!m_running.empty())
             end(m_running.begin()->first, "lapsed");
         return;
@@ -138,7 +197,9 @@
         m_ledger.broken.push_back("two runs at once: " + task);
     if (m_ledger.acknowledgedDone.contains(task))
         m_ledger.broken.push_back("started after it was done: " + task);
-    if (m_running.size() >= 4) // every task of the tests asks for a quarter of the worker
+    for (const std::string &end : m_ledger.unacknowledgedDone[task])
+        m_ledger.startedAfter.insert(end);
+    if (int64_t(m_running.size() + 1) * coresPerTask > cores)
         m_ledger.broken.push_back("over capacity: " + m_id);
     m_ledger.running[task] = m_id;
     m_ledger.started.insert(task.substr(0, task.find('.')));
@@ -146,9 +207,10 @@
     run.attempt = attempt;
     run.timer = std::make_shared<boost::asio::steady_timer>(m_context);
     run.timer->expires_after(std::chrono::milliseconds(runMs));
-    run.timer->async_wait([this, task, attempt](boost::system::error_code error) {
+    run.timer->async_wait([this, task, attempt, born = m_born](boost::system::error_code error) {
         const auto found = m_running.find(task);
-        if (!error && found != m_running.end() && found->second.attempt == attempt)
+        if (!error && born == m_born && found != m_running.end()
+            && found->second.attempt == attempt)
             end(task, "done");
     });
     answer(respond, 200, {});
@@ -171,9 +233,11 @@
     m_running.erase(task);
     m_ledger.running.erase(task);
     m_endedAttempts[task] = std::max(m_endedAttempts[task], run.attempt);
-    if (how == "done")
-        m_ledger.done.insert(task);
     m_ended.push_back({++m_lastEnd, task, run.attempt, how});
+    if (how == "done") {
+        m_ledger.done.insert(task);
+        m_ledger.unacknowledgedDone[task].insert(endName(m_lastEnd));
+    }
     answerWaiting();
 }
 
@@ -192,6 +256,8 @@
     }
     value["finished"] = Json::Value(Json::arrayValue);
     for (const End &ended : m_ended) {
+        if (value["finished"].size() == maxListed)
+            break;
         Json::Value row(Json::arrayValue);
         row.append(Json::Int64(ended.number));
         row.append(ended.task);
@@ -208,9 +274,13 @@
     extend(body);
     const int64_t seen = body["ackCursor"].asInt64();
     while (!m_ended.empty() && m_ended.front().number <= seen) {
-        if (m_ended.front().how == "done"
-            && m_ledger.acknowledgedDone.insert(m_ended.front().task).second)
+        const End &ended = m_ended.front();
+        if (ended.how == "done" && m_ledger.acknowledgedDone.insert(ended.task).second)
             ++m_ledger.acknowledged;
+        if (m_ledger.startedAfter.contains(endName(ended.number)))
+            m_ledger.broken.push_back("started after it was done, acknowledged later: "
+                                      + ended.task);
+        m_ledger.unacknowledgedDone[ended.task].erase(endName(ended.number));
         m_ended.pop_front();
     }
     const int64_t wait = body.get("waitMs", 0).asInt64();
--- a/tests/usersplatform/workers.h
+++ b/tests/usersplatform/workers.h
@@ -1,5 +1,6 @@
 // Stand-in for one of the users' workers: runs tasks under a lease, keeps the highest epoch that it
-// has seen, lists ends until they are acknowledged, and records what breaks the rules.
+// has seen, lists ends until they are acknowledged, can crash and start again under its id, and
+// records what breaks the rules.
 
 #pragma once
 
@@ -23,10 +24,13 @@
 {
     std::map<std::string, std::string> running; // task to worker
     std::set<std::string> acknowledgedDone;
-    std::set<std::string> done;      // tasks, acknowledged or not
-    std::set<std::string> started;   // jobs
-    std::vector<std::string> broken; // rules
-    size_t acknowledged = 0;         // ends
+    // Ends as done that are not acknowledged, by task: "worker/born/number".
+    std::map<std::string, std::set<std::string>> unacknowledgedDone;
+    std::set<std::string> startedAfter; // those of them after which their task was started again
+    std::set<std::string> done;         // tasks, acknowledged or not
+    std::set<std::string> started;      // jobs
+    std::vector<std::string> broken;    // rules
+    size_t acknowledged = 0;            // ends
 };
 
 // Lives on the thread that runs the io_context.
@@ -39,8 +43,17 @@
     uint16_t port() const { return m_server->port(); }
     std::string entry(uint16_t port) const; // for the store's list of workers, reached at `port`
     const std::string &id() const { return m_id; }
+    size_t running() const { return m_running.size(); }
 
-    int64_t runMs = 150;          // of each task
+    // The process ends: connections are reset, and runs, ends and the epoch are gone.
+    void crash();
+    // A new process listens on the same port under the same id; its clock and its numbers of ends
+    // start anew. Errors: as of http::Server.
+    absl::Status startAgain();
+
+    int64_t runMs = 150;  // of each task
+    int64_t cores = 4000; // thousandths; each task of the tests asks for 1000
+    std::vector<std::string> labels = {"a", "r1"};
     bool isSilent = false;        // answers nothing; leases run on
     std::string answersWith = {}; // this body with status 200, whatever was asked; empty: off
 
@@ -69,12 +82,17 @@
     void answerWaiting();
     Json::Value lists() const;
     int64_t clockMs() const;
+    std::string endName(int64_t number) const;
+    void forgetUnacknowledged();
     void answer(const http::Responder &respond, int status, Json::Value body) const;
 
     boost::asio::io_context &m_context;
     const std::string m_id;
     Ledger &m_ledger;
     std::unique_ptr<http::Server> m_server;
+    uint16_t m_port = 0; // of all its processes
+    int64_t m_born;
+    int64_t m_clockOffset; // from the owner's clock
     boost::asio::steady_timer m_leaseTimer;
     std::map<std::string, Run> m_running;
     std::map<std::string, int64_t> m_endedAttempts;
