Send a start only to the process of a worker that it was decided for

Cause: the lease of a start is a time on the worker's clock, which starts anew with each process. A start that met a process without a report granted up to holdMaxMs (10 s) where the owner counted 4.5 s.

Evidence: the case's record shows deadlineMs 486365 on a clock at 1014, and worker_runs_lost after 4.6 s.

Change: a start names the incarnation of the report that it was computed from.

The stand-in of the test ended runs by a reference to the key that it erased, so a lapsed run still counted as running.

--- a/src/cell/ports.h
+++ b/src/cell/ports.h
@@ -103,6 +103,8 @@
     using WatchCallback = std::function<void(WatchResult)>;
 
     virtual ~WorkerGateway() = default;
+    // A connection that was opened after the last report is used only once a poll on it has shown
+    // that it leads to the order's incarnation; NotSent if it does not.
     virtual void start(const jobs::StartOrder &order, Epoch epoch, TimePoint deadline,
                        OrderCallback callback) = 0;
     virtual void stop(const jobs::StopOrder &order, Epoch epoch, TimePoint deadline,
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -18,7 +18,8 @@
 //    newer owner reads the jobs after its takeover, so it knows that this owner may have started
 //    the job;
 //  - a restarted worker has lost its fencing token: it gets starts again only once a write to the
-//    store has shown that this owner had not been superseded when it saw the restart.
+//    store has shown that this owner had not been superseded when it saw the restart;
+//  - cursors and times on a worker's clock go only to the process of the worker that reported them.
 
 #pragma once
 
@@ -74,7 +75,8 @@
     std::string payload = {};
     std::string checkpoint = {};
     std::string ticket = {};
-    int64_t leaseUntilMs = 0; // on the worker's clock
+    int64_t leaseUntilMs = 0;     // on the worker's clock
+    Incarnation incarnation = {}; // the only process that may get it: the clock is that one's
 };
 
 struct StopOrder
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -362,6 +362,7 @@
     order.checkpoint = state.tasks[index].progress.checkpoint;
     order.ticket = ticket ? ticket->text : std::string();
     order.leaseUntilMs = leaseDeadline(worker, now);
+    order.incarnation = worker.incarnation;
     run.isFromStart = order.checkpoint.empty();
     log::info("run_ordered",
               {{"task", order.task},
--- a/tests/platformadapter/workergateway_test.cpp
+++ b/tests/platformadapter/workergateway_test.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -28,6 +29,8 @@
     CPPUNIT_TEST_SUITE(WorkerGatewayTest);
     CPPUNIT_TEST(keptPollsTellAnotherProcessNothing);
     CPPUNIT_TEST(sharedPollsTellAnotherProcessNothing);
+    CPPUNIT_TEST(startMeetsNoOtherProcess);
+    CPPUNIT_TEST(startReachesTheProcessThatReported);
     CPPUNIT_TEST_SUITE_END();
 
     struct Received
@@ -95,6 +98,29 @@
         return *result;
     }
 
+    jobs::OrderAnswer start(const jobs::Incarnation &incarnation)
+    {
+        jobs::StartOrder order;
+        order.worker = WorkerId("i-1");
+        order.address = address();
+        order.task = "j.0.0.0";
+        order.attempt = 1;
+        order.leaseUntilMs = lease;
+        order.incarnation = incarnation;
+        std::optional<jobs::OrderAnswer> answer;
+        m_gateway->start(order, Epoch(2), BootClock::now() + seconds(2),
+                         [&](jobs::OrderAnswer got) { answer = got; });
+        runUntil([&] { return answer.has_value(); });
+        return *answer;
+    }
+
+    size_t startsReceivedBy(int64_t born) const
+    {
+        return size_t(std::count_if(m_received.begin(), m_received.end(), [&](const auto &call) {
+            return call.born == born && call.path == "/v1/run-start";
+        }));
+    }
+
     void checkPolls(bool keepsConnection)
     {
         const cell::WatchResult first = watch({}, keepsConnection);
@@ -146,6 +172,31 @@
 
     // The same where polls share the connections of the orders.
     void sharedPollsTellAnotherProcessNothing() { checkPolls(false); }
+
+    // Guards against the fault of review/4: a start, with its lease on the clock of the process
+    // that reported, is carried out by one that has started since.
+    void startMeetsNoOtherProcess()
+    {
+        const cell::WatchResult first = watch({}, true);
+        const jobs::Incarnation known = {first.report.born, first.sentAt};
+        restart();
+        CPPUNIT_ASSERT(start(known) == jobs::OrderAnswer::NotSent);
+        CPPUNIT_ASSERT_EQUAL(size_t(0), startsReceivedBy(2));
+    }
+
+    // Guards against starts that are withheld from a worker that has not restarted, on the
+    // connection that the first one opens and on the ones after it.
+    void startReachesTheProcessThatReported()
+    {
+        const cell::WatchResult first = watch({}, true);
+        const jobs::Incarnation known = {first.report.born, first.sentAt};
+        CPPUNIT_ASSERT(start(known) == jobs::OrderAnswer::Accepted);
+        const cell::WatchResult second = watch({0, {}, known}, true);
+        const size_t calls = m_received.size();
+        CPPUNIT_ASSERT(start({second.report.born, second.sentAt}) == jobs::OrderAnswer::Accepted);
+        CPPUNIT_ASSERT_EQUAL(calls + 1, m_received.size()); // without an identification
+        CPPUNIT_ASSERT_EQUAL(size_t(2), startsReceivedBy(1));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WorkerGatewayTest);
--- a/tests/usersplatform/cell_test.cpp
+++ b/tests/usersplatform/cell_test.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(malformedAnswersEndNoMember);
     CPPUNIT_TEST(bodiesAboveTheConfiguredLimitAreRefused);
     CPPUNIT_TEST(endsOfARestartedWorkerAreRead);
+    CPPUNIT_TEST(leaseOfARestartedWorkerIsAsCounted);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<Deployment> m_deployment;
@@ -427,6 +428,30 @@
         assertNothingBroken();
     }
 
+    // Guards against the fault of review/4: a start that met a restarted worker before its first
+    // report named a time on the clock of its earlier process, so the lease outlasted the one that
+    // the owner counted with, and the task ran on two workers at once.
+    void leaseOfARestartedWorkerIsAsCounted()
+    {
+        onStandins([this] {
+            for (size_t index = 0; index < m_deployment->workerCount(); ++index)
+                m_deployment->worker(index).runMs = 9000;
+        });
+        setWorker(0, 4000, {"a", "spare"});
+        restartWorker(0, milliseconds(50));
+        const std::string id = submitBody(labelledJobBody(1, "spare"));
+        waitFor("its start", [this] {
+            return onStandins([this] { return m_deployment->worker(0).running() == 1; });
+        });
+        setWorker(1, 4000, {"a", "spare"});
+        std::this_thread::sleep_for(seconds(1));
+        onStandins([this] { m_deployment->worker(0).isSilent = true; });
+        std::this_thread::sleep_for(milliseconds(5500));
+        onStandins([this] { m_deployment->worker(0).isSilent = false; });
+        waitForState(id, "completed");
+        assertNothingBroken();
+    }
+
     // Guards against requests that are held until their clients give up while no member reaches
     // the store, although nothing more can be done for them.
     void silentStoreIsAnsweredForSoon()
--- a/tests/usersplatform/workers.cpp
+++ b/tests/usersplatform/workers.cpp
@@ -166,7 +166,7 @@
     if (left <= 0) {
         forgetUnacknowledged();
         while (!m_running.empty())
-            end(m_running.begin()->first, "lapsed");
+            end(std::string(m_running.begin()->first), "lapsed"); // a copy: end() erases the key
         return;
     }
     m_leaseTimer.expires_after(std::chrono::milliseconds(left));
@@ -205,6 +205,8 @@
     m_ledger.started.insert(task.substr(0, task.find('.')));
     Run &run = m_running[task];
     run.attempt = attempt;
+    run.startedMs = clockMs();
+    run.runMs = runMs;
     run.timer = std::make_shared<boost::asio::steady_timer>(m_context);
     run.timer->expires_after(std::chrono::milliseconds(runMs));
     run.timer->async_wait([this, task, attempt, born = m_born](boost::system::error_code error) {
@@ -250,7 +252,8 @@
         row.append(task);
         row.append(Json::Int64(run.attempt));
         row.append("");
-        row.append(50);
+        const int64_t elapsed = clockMs() - run.startedMs;
+        row.append(Json::Int64(std::clamp<int64_t>(elapsed * 100 / run.runMs, 0, 99)));
         row.append(0);
         value["running"].append(row);
     }
--- a/tests/usersplatform/workers.h
+++ b/tests/usersplatform/workers.h
@@ -61,7 +61,8 @@
     struct Run
     {
         int64_t attempt = 0;
-        int64_t cores = 0;
+        int64_t startedMs = 0; // on this worker's clock
+        int64_t runMs = 0;     // in all
         std::shared_ptr<boost::asio::steady_timer> timer;
     };
     struct End
