Keep runs whose ends a worker cannot list yet

Cause: a worker lists its first 500 ends until they are acknowledged. A run that was neither running nor among them counted as lost. The same held for a run that had ended before its stop arrived, and for restored tasks after a hand-over.

Evidence: in the case's record every end that is followed by a start has a number above 500; the record has no end "lapsed".

Change: WorkerReport::hasMoreEnds marks a list that has reached its limit. Such a report removes no run; only listed runs can be stalled; restored jobs wait until every worker has listed all its ends or its lease has expired. ends_beyond_list logs the numbers.

--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -12,8 +12,10 @@
 //  - a run holds resources from its order until its completion is reported, the order is rejected
 //    or the lease expires;
 //  - an order without a response is stopped, because the worker may still execute it later;
-//  - a job taken over from an earlier owner starts nothing until every worker has reported or its
-//    lease has expired;
+//  - a run that a worker no longer lists has ended; while the worker has more ends than its report
+//    lists, nothing follows from what is not listed;
+//  - a job taken over from an earlier owner starts nothing until every worker has listed all its
+//    ends or its lease has expired;
 //  - a job learned of after the takeover starts only once a write sent later has taken effect: a
 //    newer owner reads the jobs after its takeover, so it knows that this owner may have started
 //    the job;
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -71,7 +71,7 @@
     if (m_isRecoveryComplete)
         return true;
     m_isRecoveryComplete = std::all_of(m_workers.begin(), m_workers.end(), [&](const auto &entry) {
-        return entry.second->hasReported || now > entry.second->leaseExpiresAt;
+        return entry.second->isRecovered || now > entry.second->leaseExpiresAt;
     });
     return m_isRecoveryComplete;
 }
--- a/src/jobs/runs.cpp
+++ b/src/jobs/runs.cpp
@@ -5,6 +5,7 @@
 #include "node/log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cwl::jobs {
 
@@ -302,6 +303,7 @@
         run.metric = running.metric;
         if (run.job && !running.checkpoint.empty())
             findTask(*run.job, run.address)->progress.checkpoint = running.checkpoint;
+        stopIfStalled(worker, run, now);
         return;
     }
     Run run;
@@ -335,7 +337,7 @@
 }
 
 // Removes the runs that have ended: those that certainly began or were permanently rejected and
-// that the report no longer lists.
+// that the report, which lists all ends, no longer lists.
 void Dispatcher::removeUnlistedRuns(Worker &worker, const WorkerReport &report, TimePoint sentAt)
 {
     std::unordered_map<std::string, int64_t> listed;
@@ -414,9 +416,20 @@
     }
     for (const RunningTask &running : report.running)
         updateRun(worker, running, now);
+    if (report.hasMoreEnds && !std::exchange(worker.hasMoreEnds, true))
+        log::info("ends_beyond_list",
+                  {{"worker", id.value()},
+                   {"listed", report.ended.size()},
+                   {"processed", worker.completionsProcessed},
+                   {"acknowledged", worker.completionsAcknowledged},
+                   {"runs", worker.runs.size()}});
+    worker.hasMoreEnds = report.hasMoreEnds;
+    // Until the ends that are listed are acknowledged, a run that is not listed may be among the
+    // others.
+    if (report.hasMoreEnds)
+        return;
+    worker.isRecovered = true;
     removeUnlistedRuns(worker, report, sentAt);
-    for (auto &[task, run] : worker.runs)
-        stopIfStalled(worker, run, now);
 }
 
 // Section: responses
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -123,6 +123,8 @@
     WorkerEntry entry;
     bool isListed = true;
     bool hasReported = false; // it has reported to this owner
+    bool isRecovered = false; // and listed all that an earlier owner may have started there
+    bool hasMoreEnds = false; // than the last report lists
     Resources used = {};
     Millicores backfillUsed = {};
     bool lastPollFailed = false;
--- a/src/jobs/types.h
+++ b/src/jobs/types.h
@@ -153,10 +153,11 @@
 // A worker's response to a poll.
 struct WorkerReport
 {
-    int64_t clockMs = 0; // the worker's clock
-    int64_t born = 0;    // 0: not reported
-    std::vector<RunningTask> running = {};
-    std::vector<EndedTask> ended = {};
+    int64_t clockMs = 0;                   // the worker's clock
+    int64_t born = 0;                      // 0: not reported
+    std::vector<RunningTask> running = {}; // all of them
+    std::vector<EndedTask> ended = {};     // that are not acknowledged, the first ones
+    bool hasMoreEnds = false;              // than `ended` lists: the list has reached its limit
 };
 
 // A worker's response to an order.
--- a/tests/jobs/dispatcher_test.cpp
+++ b/tests/jobs/dispatcher_test.cpp
@@ -50,6 +50,9 @@
     CPPUNIT_TEST(stalledRunIsStopped);
     CPPUNIT_TEST(workerOfAnEarlierOwnerGetsNoStart);
     CPPUNIT_TEST(stepStartsAfterItsPredecessors);
+    CPPUNIT_TEST(runBeyondTheListedEndsIsNotLost);
+    CPPUNIT_TEST(stoppedRunBeyondTheListedEndsIsNotLost);
+    CPPUNIT_TEST(restoredJobWaitsForEndsBeyondTheList);
     CPPUNIT_TEST_SUITE_END();
 
     Dispatcher m_dispatcher{DispatcherSettings{}};
@@ -76,6 +79,32 @@
         m_dispatcher.onReport(WorkerId(id), workerReport, at(ms - 2), at(ms));
     }
 
+    // A report whose list of ends has reached its limit.
+    void reportCutList(const std::string &id, int64_t ms, const std::vector<EndedTask> &ended)
+    {
+        WorkerReport workerReport;
+        workerReport.clockMs = ms + 5000;
+        workerReport.born = 1;
+        workerReport.ended = ended;
+        workerReport.hasMoreEnds = true;
+        m_dispatcher.onReport(WorkerId(id), workerReport, at(ms - 2), at(ms));
+    }
+
+    // Starts both tasks of a job and reports the first one as done; the end of the second one is
+    // not listed yet.
+    Orders startTwoAndListOne()
+    {
+        putWorker("a", 2000);
+        report("a", 10);
+        m_dispatcher.addJob(makeJob("j", 2, 1000), at(10));
+        const Orders orders = decide(20);
+        CPPUNIT_ASSERT_EQUAL(size_t(2), orders.starts.size());
+        for (const StartOrder &order : orders.starts)
+            m_dispatcher.onStartAnswered(order, OrderAnswer::Accepted, at(25));
+        reportCutList("a", 500, {{1, "j.0.0.0", orders.starts[0].attempt, EndKind::Done, ""}});
+        return orders;
+    }
+
     Orders decideUnconfirmed(int64_t ms)
     {
         return m_dispatcher.decide(at(ms), UnixMilliseconds(0));
@@ -423,6 +452,48 @@
                 {2, "j.0.0.1", first.starts[1].attempt, EndKind::Done, ""}});
         CPPUNIT_ASSERT_EQUAL(size_t(2), decide(610).starts.size());
     }
+
+    // Guards against the fault of review/1: a worker lists a limited number of ends at a time, and
+    // a run whose end came after them counted as lost.
+    void runBeyondTheListedEndsIsNotLost()
+    {
+        const Orders orders = startTwoAndListOne();
+        CPPUNIT_ASSERT(decide(510).starts.empty());
+        // Nor does it count as stalled, however long the list stays as it is.
+        reportCutList("a", 4000, {{1, "j.0.0.0", orders.starts[0].attempt, EndKind::Done, ""}});
+        const Orders later = decide(4010);
+        CPPUNIT_ASSERT(later.starts.empty());
+        CPPUNIT_ASSERT(later.stops.empty());
+        report("a", 4100, {}, {{2, "j.0.0.1", orders.starts[1].attempt, EndKind::Done, ""}});
+        m_dispatcher.committed(m_dispatcher.collect());
+        CPPUNIT_ASSERT(m_dispatcher.jobState(JobId("j")) == JobState::Completed);
+    }
+
+    // The same for a run that had ended when its stop arrived.
+    void stoppedRunBeyondTheListedEndsIsNotLost()
+    {
+        const Orders orders = startTwoAndListOne();
+        m_dispatcher.onStartAnswered(orders.starts[1], OrderAnswer::Unknown, at(505));
+        const Orders stops = decide(510);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), stops.stops.size());
+        m_dispatcher.onStopAnswered(stops.stops[0], OrderAnswer::Accepted, at(515));
+        reportCutList("a", 600, {{1, "j.0.0.0", orders.starts[0].attempt, EndKind::Done, ""}});
+        CPPUNIT_ASSERT(decide(610).starts.empty());
+    }
+
+    // The same after a hand-over: the new owner does not know of a run whose end it has not read.
+    void restoredJobWaitsForEndsBeyondTheList()
+    {
+        putWorker("a", 2000);
+        m_dispatcher.restoreJob(makeJob("j", 2, 1000), std::nullopt, false, at(0),
+                                UnixMilliseconds(0));
+        reportCutList("a", 10, {{1, "j.0.0.0", 1, EndKind::Done, ""}});
+        CPPUNIT_ASSERT(decide(20).starts.empty());
+        report("a", 30, {}, {{2, "j.0.0.1", 1, EndKind::Done, ""}});
+        CPPUNIT_ASSERT(decide(40).starts.empty());
+        m_dispatcher.committed(m_dispatcher.collect());
+        CPPUNIT_ASSERT(m_dispatcher.jobState(JobId("j")) == JobState::Completed);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherTest);
--- a/tests/platformadapter/decode_test.cpp
+++ b/tests/platformadapter/decode_test.cpp
@@ -93,6 +93,7 @@
     CPPUNIT_TEST(jobWithTooManyOccurrencesIsTooLarge);
     CPPUNIT_TEST(extremeNumbersAreLimited);
     CPPUNIT_TEST(progressFitsARowOfTheStore);
+    CPPUNIT_TEST(reportWithAFullListOfEndsHasMore);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -184,6 +185,20 @@
         CPPUNIT_ASSERT(decodeJob(R"({"phases":[{"count":150}],"times":50,"intervalMs":1})").ok());
     }
 
+    // Guards against a list of ends that has reached its limit and is taken for the whole.
+    void reportWithAFullListOfEndsHasMore()
+    {
+        std::string ends = R"([1,"5c0e.0.0.0",1,"done",""])";
+        const auto reportOf = [&ends] {
+            return decodeReport(R"({"clockMs":1,"born":1,"running":[],"finished":[)" + ends + "]}");
+        };
+        for (int number = 2; number < 500; ++number)
+            ends += "," + std::string(R"([1,"5c0e.0.0.0",1,"done",""])");
+        CPPUNIT_ASSERT(!reportOf()->hasMoreEnds);
+        ends += R"(,[500,"5c0e.0.0.0",1,"done",""])";
+        CPPUNIT_ASSERT(reportOf()->hasMoreEnds);
+    }
+
     // Guards against conversions of numbers outside the range of the type.
     void extremeNumbersAreLimited()
     {
--- a/tests/usersplatform/cell_test.cpp
+++ b/tests/usersplatform/cell_test.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(bodiesAboveTheConfiguredLimitAreRefused);
     CPPUNIT_TEST(endsOfARestartedWorkerAreRead);
     CPPUNIT_TEST(leaseOfARestartedWorkerIsAsCounted);
+    CPPUNIT_TEST(endsBeyondOneListAreKept);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<Deployment> m_deployment;
@@ -452,6 +453,27 @@
         assertNothingBroken();
     }
 
+    // Guards against the fault of review/1: a worker lists its first 500 ends until they are
+    // acknowledged. Runs that had ended beyond them counted as lost, and their tasks were run
+    // again.
+    void endsBeyondOneListAreKept()
+    {
+        setWorker(0, 64000, {"a", "large"});
+        onStandins([this] { m_deployment->worker(0).runMs = 100; });
+        const std::string id = submitBody(labelledJobBody(1500, "large"));
+        waitFor("its start", [this] {
+            return onStandins([this] { return m_deployment->worker(0).running() > 0; });
+        });
+        onStandins([this] { m_deployment->store().faults.isSilent = true; });
+        waitFor("more ends than one list holds", [this] {
+            return onStandins([this] { return m_deployment->worker(0).unacknowledged() > 550; });
+        });
+        std::this_thread::sleep_for(milliseconds(1000)); // several polls meet the cut list
+        onStandins([this] { m_deployment->store().faults.isSilent = false; });
+        waitForState(id, "completed");
+        assertNothingBroken();
+    }
+
     // Guards against requests that are held until their clients give up while no member reaches
     // the store, although nothing more can be done for them.
     void silentStoreIsAnsweredForSoon()
--- a/tests/usersplatform/workers.cpp
+++ b/tests/usersplatform/workers.cpp
@@ -100,7 +100,7 @@
     value["zone"] = "zone-a";
     value["state"] = "ready";
     value["capacity"]["cpu"] = Json::Int64(cores);
-    value["capacity"]["memMb"] = 8000;
+    value["capacity"]["memMb"] = Json::Int64(2 * cores);
     value["capacity"]["gpu"] = 0;
     for (const std::string &label : labels)
         value["labels"].append(label);
--- a/tests/usersplatform/workers.h
+++ b/tests/usersplatform/workers.h
@@ -44,6 +44,7 @@
     std::string entry(uint16_t port) const; // for the store's list of workers, reached at `port`
     const std::string &id() const { return m_id; }
     size_t running() const { return m_running.size(); }
+    size_t unacknowledged() const { return m_ended.size(); } // ends
 
     // The process ends: connections are reset, and runs, ends and the epoch are gone.
     void crash();
