Ignore entries in the list of workers that name no usable worker

Cause: any text was taken for an address, a missing or mistyped figure for zero, and any service for one in use. The entry went into the list of used workers, and the next owner waited for it until its lease would have ended.

Change: such entries are unusable (worker_entry_unusable); the list of workers is read again when the configured services change; stored addresses that nothing connects to are left out. decodeWorker checks id, address, zone, labels and figures.

--- a/src/cell/owner.cpp
+++ b/src/cell/owner.cpp
@@ -159,8 +159,11 @@
 
 void Owner::setConfig(const jobs::CellConfig &config)
 {
+    const bool haveServicesChanged = config.services != m_config.services;
     m_config = config;
     m_dispatcher.setConfig(m_config);
+    if (haveServicesChanged && m_workersFollower)
+        followWorkers(); // entries that named no service before may name one now
     scheduleDecision();
 }
 
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -125,7 +125,9 @@
     void onJobsSnapshot(std::vector<Row> rows);
     void onJobsChanged(const std::vector<Row> &rows);
     void addJob(const std::string &row, const char *source);
+    void followWorkers();
     void onWorkers(const std::vector<Row> &rows, bool isSnapshot);
+    bool hasService(const std::string &service) const;
     void announceAddress();
     void readMembers();
     void removeExpiredMembers();
--- a/src/cell/ownerload.cpp
+++ b/src/cell/ownerload.cpp
@@ -265,12 +265,25 @@
                {"epoch", m_ownership.epoch().value()},
                {"time", now - m_termStart}});
     m_recoveryTime.observe(now - m_termStart);
+    followWorkers();
+    tick();
+}
+
+void Owner::followWorkers()
+{
     m_workersFollower = std::make_unique<TableFollower>(
             m_context, m_store, FollowOptions{.table = m_reader.workersTable, .pause = feedPause},
             FollowEvents{[this](const std::vector<Row> &found) { onWorkers(found, true); },
                          [this](const std::vector<Row> &changed) { onWorkers(changed, false); }});
     m_workersFollower->start();
-    tick();
+}
+
+// A configuration without services restricts nothing.
+bool Owner::hasService(const std::string &service) const
+{
+    return m_config.services.empty()
+            || std::find(m_config.services.begin(), m_config.services.end(), service)
+            != m_config.services.end();
 }
 
 void Owner::onJobsChanged(const std::vector<Row> &rows)
@@ -319,10 +332,13 @@
             m_dispatcher.unlistWorker(WorkerId(row.key), now);
             continue;
         }
-        const absl::StatusOr<jobs::WorkerEntry> entry = m_reader.worker(row.key, row.value);
+        absl::StatusOr<jobs::WorkerEntry> entry = m_reader.worker(row.key, row.value);
+        if (entry.ok() && !hasService(entry->service))
+            entry = makeError(Failure::InvalidValue, "the configuration names no such service",
+                              {.field = entry->service});
         if (!entry.ok()) {
             // Such an entry names no worker to use; what runs there goes on.
-            log::info("worker_entry_unreadable", {{"worker", row.key}, {"error", entry.status()}});
+            log::info("worker_entry_unusable", {{"worker", row.key}, {"error", entry.status()}});
             m_dispatcher.unlistWorker(WorkerId(row.key), now);
             continue;
         }
--- a/src/cell/usedworkers.cpp
+++ b/src/cell/usedworkers.cpp
@@ -2,6 +2,7 @@
 
 #include "base/json.h"
 #include "cell/tables.h"
+#include "http/client.h"
 #include "node/log.h"
 
 #include <absl/strings/match.h>
@@ -65,10 +66,12 @@
         }
         for (const std::string &id : value->getMemberNames()) {
             const absl::StatusOr<std::string> address = stringMember(*value, id.c_str());
-            if (address.ok())
+            // No worker can have been used at an address that nothing connects to.
+            if (address.ok() && http::isAddress(*address))
                 set(id, *address);
             else
-                log::error("used_worker_unreadable", {{"worker", id}, {"error", address.status()}});
+                log::error("used_worker_unreadable",
+                           {{"worker", id}, {"address", address.value_or(std::string())}});
         }
     }
     if (!m_hasSingleRow)
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -17,6 +17,8 @@
 
 namespace cwl::http {
 
+bool isAddress(const std::string &text); // "ip:port" or "[ip]:port" with a port above 0
+
 struct ClientOptions
 {
     std::string address;       // "127.0.0.1:7000"
--- a/src/http/link.cpp
+++ b/src/http/link.cpp
@@ -47,6 +47,11 @@
     return tcp::endpoint(address, port);
 }
 
+bool isAddress(const std::string &text)
+{
+    return parseAddress(text).has_value();
+}
+
 bool isOpen(tcp::socket &socket)
 {
     char byte = 0;
--- a/tests/cell/usedworkers_test.cpp
+++ b/tests/cell/usedworkers_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(rowsOfManyWorkersFitTheStore);
     CPPUNIT_TEST(singleRowOfEarlierVersionsIsRead);
     CPPUNIT_TEST(unreadableRowLosesOnlyItsOwnWorkers);
+    CPPUNIT_TEST(impossibleAddressIsLeftOut);
     CPPUNIT_TEST_SUITE_END();
 
     static std::string idOf(size_t number) { return absl::StrCat("i-4f6647b8", number); }
@@ -70,6 +71,17 @@
                       {ownerTable, ownerPart, "workers.2", R"({"i-1":7,"i-2":"10.0.0.2:80"})"}});
         CPPUNIT_ASSERT_EQUAL(size_t(1), workers.addresses().size());
     }
+
+    // Guards against an owner that waits for a worker that an earlier version took from an odd
+    // entry: nothing connects to its address.
+    void impossibleAddressIsLeftOut()
+    {
+        UsedWorkers workers;
+        workers.load({{ownerTable, ownerPart, "workers.2",
+                       R"({"i-1":"127.0.0.1:99999","i-2":"10.0.0.2:80"})"}});
+        CPPUNIT_ASSERT_EQUAL(size_t(1), workers.addresses().size());
+        CPPUNIT_ASSERT(workers.addresses().contains("i-2"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UsedWorkersTest);
--- a/tests/platformadapter/decode_test.cpp
+++ b/tests/platformadapter/decode_test.cpp
@@ -94,6 +94,7 @@
     CPPUNIT_TEST(extremeNumbersAreLimited);
     CPPUNIT_TEST(progressFitsARowOfTheStore);
     CPPUNIT_TEST(reportWithAFullListOfEndsHasMore);
+    CPPUNIT_TEST(oddWorkerEntriesNameNoWorker);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -185,6 +186,44 @@
         CPPUNIT_ASSERT(decodeJob(R"({"phases":[{"count":150}],"times":50,"intervalMs":1})").ok());
     }
 
+    // Guards against an entry of another writer that is taken for a worker: the owner waits for a
+    // worker that can never report.
+    void oddWorkerEntriesNameNoWorker()
+    {
+        const auto changed = [](const std::string &from, const std::string &to) {
+            std::string entry = validWorker;
+            const size_t at = entry.find(from);
+            CPPUNIT_ASSERT_MESSAGE(from, at != std::string::npos);
+            return entry.replace(at, from.size(), to);
+        };
+        CPPUNIT_ASSERT(decodeWorker("i-1", changed(",\"labels\":[\"a\",\"r1-3\"]", "")).ok());
+        for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>>{
+                     {"10.0.0.1:80", "10.0.0.1:99999"},
+                     {"10.0.0.1:80", "10.0.0.1:0"},
+                     {"10.0.0.1:80", "10.0.0.1:-5"},
+                     {"10.0.0.1:80", "10.0.0.1"},
+                     {"10.0.0.1:80", "worker.example:80"},
+                     {"\"10.0.0.1:80\"", "7"},
+                     {"16000", "1e400"},
+                     {"16000", "99999999999999999999999999"},
+                     {"16000", "\"16000\""},
+                     {"16000", std::string(100000, '[')},
+                     {"\"cpu\":16000,", ""},
+                     {"\"memMb\":32768,", ""},
+                     {"32768", "-1"},
+                     {"\"gpu\":8", "\"gpu\":[]"},
+                     {"[\"a\",\"r1-3\"]", "[\"a\",7]"},
+                     {"[\"a\",\"r1-3\"]", "{}"},
+                     {"\"born\":1", "\"born\":\"1\""},
+                     {"\"remainingMs\":900", "\"remainingMs\":\"soon\""},
+                     {"draining", "leaving"},
+                     {"\"zone\":\"z\",", ""},
+                     {"\"service\":\"s\",", ""}})
+            CPPUNIT_ASSERT_MESSAGE(to.substr(0, 40), !decodeWorker("i-1", changed(from, to)).ok());
+        for (const char *id : {"", "i 1", "i\r\n1", "i-\xff"})
+            CPPUNIT_ASSERT_MESSAGE(id, !decodeWorker(id, validWorker).ok());
+    }
+
     // Guards against a list of ends that has reached its limit and is taken for the whole.
     void reportWithAFullListOfEndsHasMore()
     {
--- a/tests/usersplatform/cell_test.cpp
+++ b/tests/usersplatform/cell_test.cpp
@@ -40,6 +40,8 @@
     CPPUNIT_TEST(endsOfARestartedWorkerAreRead);
     CPPUNIT_TEST(leaseOfARestartedWorkerIsAsCounted);
     CPPUNIT_TEST(endsBeyondOneListAreKept);
+    CPPUNIT_TEST(oddWorkerEntriesDelayNoTakeover);
+    CPPUNIT_TEST(entryOfAnUnknownServiceDelaysNoTakeover);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<Deployment> m_deployment;
@@ -155,6 +157,50 @@
         });
     }
 
+    // Puts entries into the list of workers, ends the owner for good while a job is under way, and
+    // expects the next owner to go on with it.
+    void checkTakeoverWith(const std::vector<std::pair<std::string, std::string>> &entries)
+    {
+        // A job with work and room may stand still for 3 s, counted from `contactMs`, 5 s, after a
+        // disruption; the tasks themselves take under 4 s.
+        constexpr Duration limit = seconds(3 + 5 + 4);
+        for (const auto &[key, entry] : entries)
+            onStandins([&] { m_deployment->store().put("servers", key, entry); });
+        for (int round = 0; round < 5; ++round) // the entries are read before the job is done
+            waitForState(submit(1), "completed");
+        const std::string id = submitBody(labelledJobBody(200, "a"));
+        waitFor("its start", [this] {
+            return onStandins([this] { return !m_deployment->ledger().running.empty(); });
+        });
+        const size_t owner = ownerIndex();
+        member(owner).process->kill();
+        const TimePoint killedAt = BootClock::now();
+        size_t next = owner;
+        waitFor("the end of the job", [&] {
+            std::string answer;
+            next = (next + 1) % members;
+            return next != owner
+                    && status(member(next).callers, "GET", "/draw/" + id, {}, &answer) == 200
+                    && answer.find("\"completed\"") != std::string::npos;
+        });
+        const Duration time = BootClock::now() - killedAt;
+        CPPUNIT_ASSERT_MESSAGE(absl::StrCat("the job took ",
+                                            std::chrono::duration_cast<milliseconds>(time).count(),
+                                            " ms"),
+                               time < limit);
+        for (size_t index = 0; index < members; ++index)
+            CPPUNIT_ASSERT(index == owner || member(index).process->isRunning());
+        assertNothingBroken();
+    }
+
+    static std::string workerEntry(const std::string &service, const std::string &address,
+                                   const std::string &cpu)
+    {
+        return "{\"service\":\"" + service + "\",\"addr\":\"" + address
+                + R"(","zone":"zone-a","state":"ready","capacity":{"cpu":)" + cpu
+                + R"(,"memMb":8000,"gpu":0},"labels":["a"],"born":1700000000000})";
+    }
+
     void assertNothingBroken()
     {
         const std::vector<std::string> broken =
@@ -474,6 +520,27 @@
         assertNothingBroken();
     }
 
+    // Guards against members that an odd entry in the list of workers ends or delays: the next
+    // owner waited 16.6 s for a worker at an address that nothing can connect to.
+    void oddWorkerEntriesDelayNoTakeover()
+    {
+        const std::string dead = "127.0.0.1:1";
+        checkTakeoverWith({{"odd-port", workerEntry("draw", "127.0.0.1:99999", "4000")},
+                           {"odd-no-port", workerEntry("draw", "127.0.0.1:0", "4000")},
+                           {"odd-negative", workerEntry("draw", "127.0.0.1:-5", "4000")},
+                           {"odd-number", workerEntry("draw", dead, "1e400")},
+                           {"odd-digits", workerEntry("draw", dead, std::string(26, '9'))},
+                           {"odd-type", workerEntry("draw", dead, "\"4000\"")},
+                           {"odd-depth", workerEntry("draw", dead, std::string(30000, '['))},
+                           {"odd\r\nkey", workerEntry("draw", dead, "4000")}});
+    }
+
+    // The same for an entry of a service that the configuration does not name.
+    void entryOfAnUnknownServiceDelaysNoTakeover()
+    {
+        checkTakeoverWith({{"other", workerEntry("other", "127.0.0.1:1", "4000")}});
+    }
+
     // Guards against requests that are held until their clients give up while no member reaches
     // the store, although nothing more can be done for them.
     void silentStoreIsAnsweredForSoon()
