Start nothing by the entry of another process of a worker

Found by reading; not seen by callers. A worker may come back under its id with less room or other labels, and starts followed the entry of its earlier process: over its capacity (LIMIT) or without the required label (ROUTE).

Cause: the start time in the entry was not compared with that in the report; the two arrive in any order.

Change: mayStart() wants both to be of the same process. The soak restarts workers among its other failures, and a test restarts them in series under load.

--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -210,11 +210,14 @@
     return reservedResources(step).fitsIn(freeCapacity(worker));
 }
 
-// Conditions for any task: the worker is listed, healthy and has reported to this owner, and the
-// owner has been confirmed since the worker's last restart.
+// Conditions for any task: the worker is listed, healthy and has reported to this owner, its entry
+// and its report are of the same process, and the owner has been confirmed since the worker's last
+// restart.
 bool Dispatcher::mayStart(const Worker &worker, TimePoint now) const
 {
-    return worker.hasReported && worker.isListed && !worker.entry.isDraining
+    const bool isEntryCurrent = worker.entry.born == 0 || worker.incarnation.born == 0
+            || worker.entry.born == worker.incarnation.born;
+    return worker.hasReported && isEntryCurrent && worker.isListed && !worker.entry.isDraining
             && worker.unknownRuns == 0 && now >= worker.excludedUntil
             && now - worker.lastReport <= maxReportAge
             && (worker.restartSeenAt == TimePoint()
--- a/tests/jobs/dispatcher_test.cpp
+++ b/tests/jobs/dispatcher_test.cpp
@@ -53,11 +53,13 @@
     CPPUNIT_TEST(runBeyondTheListedEndsIsNotLost);
     CPPUNIT_TEST(stoppedRunBeyondTheListedEndsIsNotLost);
     CPPUNIT_TEST(restoredJobWaitsForEndsBeyondTheList);
+    CPPUNIT_TEST(restartedWorkerGetsNoStartBeforeItsEntryIsRead);
+    CPPUNIT_TEST(restartedWorkerGetsNoStartBeforeItsReportIsRead);
     CPPUNIT_TEST_SUITE_END();
 
     Dispatcher m_dispatcher{DispatcherSettings{}};
 
-    void putWorker(const std::string &id, int64_t cores, bool isDraining = false)
+    void putWorker(const std::string &id, int64_t cores, bool isDraining = false, int64_t born = 0)
     {
         WorkerEntry entry;
         entry.id = WorkerId(id);
@@ -65,15 +67,16 @@
         entry.service = "service";
         entry.capacity = {Millicores(cores), Mebibytes(10000), {}};
         entry.isDraining = isDraining;
+        entry.born = born;
         m_dispatcher.putWorker(entry, at(0));
     }
 
     void report(const std::string &id, int64_t ms, const std::vector<RunningTask> &running = {},
-                const std::vector<EndedTask> &ended = {})
+                const std::vector<EndedTask> &ended = {}, int64_t born = 1)
     {
         WorkerReport workerReport;
         workerReport.clockMs = ms + 5000;
-        workerReport.born = 1;
+        workerReport.born = born;
         workerReport.running = running;
         workerReport.ended = ended;
         m_dispatcher.onReport(WorkerId(id), workerReport, at(ms - 2), at(ms));
@@ -494,6 +497,34 @@
         m_dispatcher.committed(m_dispatcher.collect());
         CPPUNIT_ASSERT(m_dispatcher.jobState(JobId("j")) == JobState::Completed);
     }
+
+    // Guards against starts that follow the room and the labels of an earlier process: a worker may
+    // come back as a smaller one.
+    void restartedWorkerGetsNoStartBeforeItsEntryIsRead()
+    {
+        putWorker("a", 2000, false, 1);
+        report("a", 10);
+        report("a", 20, {}, {}, 2);
+        m_dispatcher.addJob(makeJob("j", 1, 2000), at(30));
+        CPPUNIT_ASSERT(decide(40).starts.empty());
+        putWorker("a", 1000, false, 2);
+        CPPUNIT_ASSERT(decide(50).starts.empty()); // has no room for the task
+        putWorker("a", 2000, false, 2);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), decide(60).starts.size());
+    }
+
+    // The same where the new entry is read first: the clock and the runs are those of a process
+    // that has ended.
+    void restartedWorkerGetsNoStartBeforeItsReportIsRead()
+    {
+        putWorker("a", 2000, false, 1);
+        report("a", 10);
+        putWorker("a", 2000, false, 2);
+        m_dispatcher.addJob(makeJob("j", 1, 2000), at(30));
+        CPPUNIT_ASSERT(decide(40).starts.empty());
+        report("a", 50, {}, {}, 2);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), decide(60).starts.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherTest);
--- a/tests/usersplatform/cell_test.cpp
+++ b/tests/usersplatform/cell_test.cpp
@@ -11,6 +11,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <memory>
+#include <random>
 #include <thread>
 
 namespace {
@@ -39,6 +40,7 @@
     CPPUNIT_TEST(bodiesAboveTheConfiguredLimitAreRefused);
     CPPUNIT_TEST(endsOfARestartedWorkerAreRead);
     CPPUNIT_TEST(leaseOfARestartedWorkerIsAsCounted);
+    CPPUNIT_TEST(workersThatRestartInSeriesDoubleNothing);
     CPPUNIT_TEST(endsBeyondOneListAreKept);
     CPPUNIT_TEST(oddWorkerEntriesDelayNoTakeover);
     CPPUNIT_TEST(entryOfAnUnknownServiceDelaysNoTakeover);
@@ -499,6 +501,24 @@
         assertNothingBroken();
     }
 
+    // Guards against the faults of review/2 and review/4 at other moments: between two polls, while
+    // starts are on their way, and again before the last restart has been noticed.
+    void workersThatRestartInSeriesDoubleNothing()
+    {
+        constexpr int rounds = 14;
+        std::mt19937_64 random(20261205);
+        std::vector<std::string> jobs;
+        for (int round = 0; round < rounds; ++round) {
+            jobs.push_back(submitBody(labelledJobBody(36, "a")));
+            std::this_thread::sleep_for(
+                    milliseconds(std::uniform_int_distribution<int>(20, 1520)(random)));
+            restartWorker(random() % m_deployment->workerCount(), milliseconds(50));
+        }
+        for (const std::string &id : jobs)
+            waitForState(id, "completed");
+        assertNothingBroken();
+    }
+
     // Guards against the fault of review/1: a worker lists its first 500 ends until they are
     // acknowledged. Runs that had ended beyond them counted as lost, and their tasks were run
     // again.
--- a/tests/usersplatform/soak.cpp
+++ b/tests/usersplatform/soak.cpp
@@ -69,6 +69,7 @@
     void pauseMember(size_t index);
     void harmLink(const std::string &name, standins::ProxyLink &link);
     void harmStore();
+    void restartWorker(size_t index);
     void changeConfig();
     void runDue(TimePoint now);
     void restoreAll();
@@ -158,6 +159,28 @@
     later(time, [this] { m_deployment.onStandins([&] { m_deployment.store().faults = {}; }); });
 }
 
+// Its processes follow each other under one id, and some end before the list has their entry.
+void Soak::restartWorker(size_t index)
+{
+    const bool isUp = m_deployment.onStandins([&] { return m_deployment.worker(index).isUp(); });
+    if (!isUp)
+        return;
+    const int64_t downTime = draw(20, 1500);
+    const int64_t entryDelay = draw(0, 600);
+    note(absl::StrCat("restart worker ", index, " after ", downTime, " ms"));
+    m_deployment.onStandins([&] { m_deployment.worker(index).crash(); });
+    later(downTime, [this, index] {
+        (void)m_deployment.onStandins([&] { return m_deployment.worker(index).startAgain(); });
+    });
+    later(downTime + entryDelay, [this, index] {
+        m_deployment.onStandins([&] {
+            const Worker &worker = m_deployment.worker(index);
+            m_deployment.store().put("servers", worker.id(),
+                                     worker.entry(m_deployment.workerLink(index).port()));
+        });
+    });
+}
+
 void Soak::changeConfig()
 {
     m_configVersion += int(draw(1, 3));
@@ -171,7 +194,7 @@
 {
     const auto member = size_t(draw(0, int64_t(m_deployment.memberCount()) - 1));
     const auto worker = size_t(draw(0, int64_t(m_deployment.workerCount()) - 1));
-    switch (draw(0, 11)) {
+    switch (draw(0, 14)) {
     case 0:
     case 1:
         return killMember(member);
@@ -192,6 +215,10 @@
                         *m_deployment.member(member).storeLink);
     case 9:
         return changeConfig();
+    case 10:
+    case 11:
+    case 12:
+        return restartWorker(worker);
     default:
         return harmLink(absl::StrCat("link of worker ", worker), m_deployment.workerLink(worker));
     }
--- a/tests/usersplatform/workers.h
+++ b/tests/usersplatform/workers.h
@@ -40,7 +40,8 @@
     Worker(boost::asio::io_context &context, std::string id, Ledger &ledger);
 
     absl::Status open(); // Errors: as of http::Server
-    uint16_t port() const { return m_server->port(); }
+    uint16_t port() const { return m_port; }
+    bool isUp() const { return m_server != nullptr; }
     std::string entry(uint16_t port) const; // for the store's list of workers, reached at `port`
     const std::string &id() const { return m_id; }
     size_t running() const { return m_running.size(); }
