Capture no structured binding in a test's lambda

Cause: clang-tidy rejects the reference to a structured binding in a lambda of checkTakeoverWith(); g++ accepts it.

Change: the loop uses the pair itself.

--- a/tests/usersplatform/cell_test.cpp
+++ b/tests/usersplatform/cell_test.cpp
@@ -166,8 +166,8 @@
         // A job with work and room may stand still for 3 s, counted from `contactMs`, 5 s, after a
         // disruption; the tasks themselves take under 4 s.
         constexpr Duration limit = seconds(3 + 5 + 4);
-        for (const auto &[key, entry] : entries)
-            onStandins([&] { m_deployment->store().put("servers", key, entry); });
+        for (const auto &entry : entries)
+            onStandins([&] { m_deployment->store().put("servers", entry.first, entry.second); });
         for (int round = 0; round < 5; ++round) // the entries are read before the job is done
             waitForState(submit(1), "completed");
         const std::string id = submitBody(labelledJobBody(200, "a"));
