Identify a worker once for all calls on its open connections

Change: the gateway keeps the last identification of each worker; it holds for every connection that was open by then.

--- a/tests/platformadapter/workergateway_test.cpp
+++ b/tests/platformadapter/workergateway_test.cpp
@@ -191,11 +191,14 @@
         const cell::WatchResult first = watch({}, true);
         const jobs::Incarnation known = {first.report.born, first.sentAt};
         CPPUNIT_ASSERT(start(known) == jobs::OrderAnswer::Accepted);
+        CPPUNIT_ASSERT_EQUAL(size_t(3), m_received.size()); // with an identification
+        CPPUNIT_ASSERT(start(known) == jobs::OrderAnswer::Accepted);
+        CPPUNIT_ASSERT_EQUAL(size_t(4), m_received.size()); // one is enough for a connection
         const cell::WatchResult second = watch({0, {}, known}, true);
         const size_t calls = m_received.size();
         CPPUNIT_ASSERT(start({second.report.born, second.sentAt}) == jobs::OrderAnswer::Accepted);
         CPPUNIT_ASSERT_EQUAL(calls + 1, m_received.size()); // without an identification
-        CPPUNIT_ASSERT_EQUAL(size_t(2), startsReceivedBy(1));
+        CPPUNIT_ASSERT_EQUAL(size_t(3), startsReceivedBy(1));
     }
 };
 
