--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -50,7 +50,7 @@
     }
 
     uint64_t send(Request request, TimePoint deadline, ResponseCallback callback, SendGuard guard);
-    uint64_t send(RequestMaker maker, TimePoint deadline, ResponseCallback callback);
+    uint64_t sendMade(RequestMaker maker, TimePoint deadline, ResponseCallback callback);
     void giveUp(uint64_t request);
     void closeAll();
     void shutDown();
@@ -106,8 +106,8 @@
     return post(std::move(exchange));
 }
 
-uint64_t Client::Implementation::send(RequestMaker maker, TimePoint deadline,
-                                      ResponseCallback callback)
+uint64_t Client::Implementation::sendMade(RequestMaker maker, TimePoint deadline,
+                                          ResponseCallback callback)
 {
     auto exchange = std::make_shared<Exchange>(m_strand, deadline, std::move(callback));
     exchange->maker = std::move(maker);
@@ -495,9 +495,9 @@
                                   std::move(guard));
 }
 
-uint64_t Client::send(RequestMaker maker, TimePoint deadline, ResponseCallback callback)
+uint64_t Client::sendMade(RequestMaker maker, TimePoint deadline, ResponseCallback callback)
 {
-    return m_implementation->send(std::move(maker), deadline, std::move(callback));
+    return m_implementation->sendMade(std::move(maker), deadline, std::move(callback));
 }
 
 void Client::giveUp(uint64_t request)
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -66,7 +66,7 @@
                   SendGuard guard = {});
 
     // As above, for a request that depends on the connection.
-    uint64_t send(RequestMaker maker, TimePoint deadline, ResponseCallback callback);
+    uint64_t sendMade(RequestMaker maker, TimePoint deadline, ResponseCallback callback);
 
     // Ends a request under way as its deadline would. Also closes the idle connections, because
     // they may have gone silent with the one that the request used. Does nothing if the request has
