--- a/bench/jobs/fleet.cpp
+++ b/bench/jobs/fleet.cpp
@@ -140,6 +140,7 @@
         entry.labels = {"a", absl::StrFormat("r%d", number / 12)};
         entry.born = 1;
         m_dispatcher.putWorker(entry, now);
+        m_dispatcher.noteRecorded(entry.id);
         m_machines[entry.id.value()].id = entry.id;
     }
 }
@@ -198,7 +199,7 @@
         run = machine.running.erase(run);
     }
     measure(m_result.reportSeconds, [&] {
-        m_dispatcher.watchOrder(machine.id, now);
+        m_dispatcher.watchOrder(machine.id);
         m_dispatcher.onReport(machine.id, workerReport, now - milliseconds(2), now);
     });
     machine.nextReport = now + (machine.running.empty() ? seconds(1) : pollInterval);
--- a/src/cell/owner.cpp
+++ b/src/cell/owner.cpp
@@ -232,11 +232,27 @@
     const Duration lag = m_nextTick == TimePoint() ? Duration::zero() : now - m_nextTick;
     m_lag = std::max(lag, Duration(int64_t(lagDecay * double(m_lag.count()))));
     m_lagTime.observe(lag);
+    proveOwnership(now);
     decide();
     m_nextTick = BootClock::now() + tickInterval;
     after(m_tickTimer, tickInterval, [this] { tick(); });
 }
 
+// Updates what follows from the time that has passed: the proofs of this owner, and the end of what
+// earlier ones may do.
+void Owner::proveOwnership(TimePoint now)
+{
+    if (!m_ownership.isSole() && now > m_predecessorActionsEnd)
+        m_ownership.setSole();
+    if (now - m_ownership.lastWrite() > recentWrite) {
+        const std::optional<TimePoint> witnessed =
+                m_dispatcher.respondedSince(m_usedWorkers.storedAtMost() / 2 + 1);
+        if (witnessed)
+            m_ownership.noteWitnessed(*witnessed);
+    }
+    m_dispatcher.proveOwnership(m_ownership.lastProof());
+}
+
 void Owner::scheduleDecision()
 {
     if (!m_isActive || std::exchange(m_isDecisionDue, true))
@@ -260,6 +276,8 @@
     sendOrders(orders);
     m_advice.dispatchWaiting();
     storeChanges();
+    if (now >= m_nextWorkerRemoval)
+        removeWorkers();
     if (now >= m_nextExpiry)
         removeExpired();
 }
@@ -350,7 +368,8 @@
 {
     const TimePoint now = BootClock::now();
     if (!m_isActive || m_ownership.isCommitting() || now < m_storeNotBefore
-        || (!m_dispatcher.hasUnstored() && !m_usedWorkers.hasChanges() && m_removals.empty()
+        || (!m_dispatcher.hasUnstored() && m_removals.empty()
+            && !(m_ownership.isSole() && m_usedWorkers.hasChanges())
             && !m_dispatcher.awaitsConfirmation()))
         return;
     if (now - m_lastStore < commitInterval) {
@@ -362,9 +381,14 @@
     writes.reserve(batch.rows.size() + 2);
     for (const jobs::Batch::JobRow &row : batch.rows)
         writes.push_back({progressTable, ownerPart, row.id.value(), row.progress});
-    const std::vector<Row> workerRows = m_usedWorkers.takeChanges(maxWorkerRowsPerWrite);
-    writes.insert(writes.end(), workerRows.begin(), workerRows.end());
-    std::vector<Row> removals = m_usedWorkers.takeRemovals();
+    // An earlier owner that can still act counts the used workers as they were.
+    std::vector<Row> workerRows;
+    std::vector<Row> removals;
+    if (m_ownership.isSole()) {
+        workerRows = m_usedWorkers.takeChanges(maxWorkerRowsPerWrite);
+        writes.insert(writes.end(), workerRows.begin(), workerRows.end());
+        removals = m_usedWorkers.takeRemovals();
+    }
     while (!m_removals.empty() && removals.size() < maxRemovalsPerWrite) {
         removals.push_back(std::move(m_removals.back()));
         m_removals.pop_back();
@@ -375,22 +399,23 @@
         onStored(batch);
         return;
     }
-    const bool isSent =
-            m_ownership.commit(std::move(writes), std::move(removals),
-                               [this, alive = m_alive, term = m_term, batch = std::move(batch),
-                                workerRows, now](bool isStored) {
-                                   if (!*alive || term != m_term)
-                                       return;
-                                   if (!isStored) {
-                                       // The rows are sent again; meanwhile the renewals keep the
-                                       // ownership.
-                                       m_usedWorkers.restoreChanges(workerRows);
-                                       m_storeNotBefore = BootClock::now() + refusedWritePause;
-                                       return;
-                                   }
-                                   m_commitTime.observe(BootClock::now() - now);
-                                   onStored(batch);
-                               });
+    const bool isSent = m_ownership.commit(
+            std::move(writes), std::move(removals),
+            [this, alive = m_alive, term = m_term, batch = std::move(batch), workerRows,
+             now](bool isStored) {
+                if (!*alive || term != m_term)
+                    return;
+                if (!isStored) {
+                    // The rows are sent again; meanwhile the renewals keep the ownership.
+                    m_usedWorkers.restoreChanges(workerRows);
+                    m_storeNotBefore = BootClock::now() + refusedWritePause;
+                    return;
+                }
+                m_commitTime.observe(BootClock::now() - now);
+                for (const std::string &id : m_usedWorkers.confirmChanges(workerRows))
+                    m_dispatcher.noteRecorded(WorkerId(id));
+                onStored(batch);
+            });
     if (!isSent) {
         m_usedWorkers.restoreChanges(workerRows);
         log::debug("store_postponed", {});
@@ -405,13 +430,10 @@
         scheduleDecision();
 }
 
-void Owner::removeExpired()
+void Owner::removeWorkers()
 {
-    const TimePoint now = BootClock::now();
-    m_nextExpiry = now + expiryInterval;
-    for (const WorkerId &id : m_dispatcher.knownWorkers()) {
-        if (!m_dispatcher.isRemovable(id, now))
-            continue;
+    m_nextWorkerRemoval = BootClock::now() + workerRemovalInterval;
+    for (const WorkerId &id : m_dispatcher.removableWorkers()) {
         const auto entry = m_watches.find(id.value());
         if (entry != m_watches.end()) {
             m_gateway.closeConnections(entry->second->target);
@@ -422,6 +444,12 @@
         m_usedWorkers.erase(id.value());
         log::info("worker_removed", {{"worker", id.value()}});
     }
+}
+
+void Owner::removeExpired()
+{
+    const TimePoint now = BootClock::now();
+    m_nextExpiry = now + expiryInterval;
     for (const JobId &id : m_dispatcher.takeExpired(now)) {
         m_removals.push_back({progressTable, ownerPart, id.value()});
         Transaction transaction;
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -32,9 +32,10 @@
 constexpr Duration decisionDelay = milliseconds(2); // combines events into one decision
 // Decisions take at most 1 / decisionTimeDivisor of the processor time.
 constexpr int decisionTimeDivisor = 4;
-constexpr Duration watchWait = milliseconds(1000);          // of one poll of a worker
-constexpr Duration watchResponseMargin = milliseconds(900); // beyond its wait
-constexpr Duration watchRetryPause = milliseconds(400);     // after a failed poll
+constexpr Duration watchWait = milliseconds(1000);            // of one poll of a worker
+constexpr Duration watchWaitWithoutStore = milliseconds(300); // responses then prove the ownership
+constexpr Duration watchResponseMargin = milliseconds(900);   // beyond its wait
+constexpr Duration watchRetryPause = milliseconds(400);       // after a failed poll
 // Between polls that do not wait: workers without runs share connections when there are too few for
 // all workers, then also those with runs.
 constexpr Duration idlePollInterval = milliseconds(1000);
@@ -56,6 +57,8 @@
 constexpr Duration refusedWritePause = seconds(1); // after a write that the store refuses
 constexpr size_t maxRemovalsPerWrite = 15;         // in one write, beside the other rows
 constexpr Duration expiryInterval = seconds(5);    // between removals of old jobs
+// Between removals of workers that have left. A later owner waits for those that are not removed.
+constexpr Duration workerRemovalInterval = milliseconds(250);
 constexpr Duration predecessorTimeout = milliseconds(500);
 constexpr Duration predecessorInterval = milliseconds(300); // between queries to the last owner
 constexpr double workerClockMargin = 1.03;                  // a worker's clock is up to 2% slow
@@ -115,6 +118,8 @@
     void onOwnershipWon(Epoch epoch, const OwnerRow &previous);
     void onOwnershipLost(const char *reason);
     void load();
+    Duration longestLease() const;
+    void boundPredecessors(TimePoint actionsEnd, TimePoint leasesStart);
     void probePredecessor(const OwnerRow &previous);
     void sendPredecessorProbe(Epoch epoch);
     void onPredecessorResponse(Epoch epoch, const absl::StatusOr<http::Response> &response);
@@ -144,7 +149,9 @@
     bool checkFenced(jobs::OrderAnswer answer);
     void storeChanges();
     void onStored(const jobs::Batch &batch);
+    void removeWorkers();
     void removeExpired();
+    void proveOwnership(TimePoint now);
     void tick();
 
     // Section: polls of workers (ownerwatch.cpp)
@@ -182,10 +189,12 @@
     bool m_isDecisionDue = false;
     uint64_t m_term = 0; // rises with each change of the ownership; old callbacks compare it
     TimePoint m_termStart = {};
+    TimePoint m_predecessorActionsEnd = {}; // no earlier owner sends orders or polls after
     TimePoint m_lastStore = {};
     TimePoint m_storeNotBefore = {};
     TimePoint m_decideNotBefore = {}; // with a long backlog, decisions are made less often
     TimePoint m_nextExpiry = {};
+    TimePoint m_nextWorkerRemoval = {};
     TimePoint m_nextTick = {};
     Duration m_lag = {}; // by which ticks come late, the largest of the last ones
     Timer m_decideTimer;
--- a/src/cell/ownerload.cpp
+++ b/src/cell/ownerload.cpp
@@ -46,21 +46,35 @@
     m_termStart = now;
     m_nextTick = {};
     m_lag = {};
-    const auto lease =
-            Duration(int64_t(double(m_options.dispatcher.lease.count()) * workerClockMargin));
-    // Runs of the last owner may continue until it notices that it is superseded, and one lease
-    // longer. After a resignation only the lease remains; with an empty store there are no runs.
-    Duration bound = lease + maxStoreOutage;
-    if (previous.holder.empty())
-        bound = previous.epoch.value() == 0 ? Duration::zero() : lease;
-    m_dispatcher.begin(epoch, now + bound);
+    // Without a response of any worker or member, earlier owners act until their terms end.
+    m_predecessorActionsEnd = now + maxStoreOutage;
+    m_dispatcher.begin(epoch, m_predecessorActionsEnd + longestLease());
+    m_dispatcher.confirmOwnership(m_ownership.lastWrite());
+    if (previous.epoch.value() == 0)
+        m_dispatcher.setPredecessorEnds({}); // with an empty store there are no runs
+    else if (previous.isSole && previous.holder.empty())
+        boundPredecessors(now, now); // it has resigned
     m_dispatcher.setConfig(m_config);
-    if (!previous.holder.empty())
+    if (previous.isSole && !previous.holder.empty())
         probePredecessor(previous);
     load();
     readMembers();
 }
 
+// By the clock of this process, however slow that of the worker is.
+Duration Owner::longestLease() const
+{
+    return Duration(int64_t(double(m_options.dispatcher.lease.count()) * workerClockMargin));
+}
+
+// Earlier owners send orders and polls until `actionsEnd` at the latest, and their leases count
+// from `leasesStart` at the latest.
+void Owner::boundPredecessors(TimePoint actionsEnd, TimePoint leasesStart)
+{
+    m_predecessorActionsEnd = std::min(m_predecessorActionsEnd, actionsEnd);
+    m_dispatcher.setPredecessorEnds(leasesStart + longestLease());
+}
+
 // Queries the owner periodically, so that the end of its process is noticed before its renewals
 // time out.
 void Owner::probeOwner()
@@ -113,8 +127,8 @@
         m_ownership.noteOwnerEnded(epoch);
 }
 
-// A response from the last owner's address without its epoch proves that it has stopped. The query
-// is repeated until then: the process may be restarting.
+// A response from the last owner's address without its epoch proves that it has stopped, and it was
+// the only one that could act. The query is repeated until then: the process may be restarting.
 void Owner::probePredecessor(const OwnerRow &previous)
 {
     auto client = http::Client::create(m_context,
@@ -152,9 +166,8 @@
         });
         return;
     }
-    const auto lease =
-            Duration(int64_t(double(m_options.dispatcher.lease.count()) * workerClockMargin));
-    m_dispatcher.setPredecessorEnds(BootClock::now() + lease);
+    const TimePoint now = BootClock::now();
+    boundPredecessors(now, now);
     log::info("predecessor_stopped", {{"epoch", epoch.value()}});
 }
 
@@ -252,12 +265,8 @@
     m_isActive = true;
     // Workers used by an earlier owner may still run its tasks even if they are no longer listed.
     for (const auto &[id, address] : m_usedWorkers.addresses()) {
-        jobs::WorkerEntry entry;
-        entry.id = WorkerId(id);
-        entry.address = address;
-        m_dispatcher.putWorker(entry, now);
-        m_dispatcher.unlistWorker(entry.id, now);
-        watch(entry.id);
+        m_dispatcher.restoreWorker(WorkerId(id), address, now);
+        watch(WorkerId(id));
     }
     log::info("jobs_loaded",
               {{"rows", rows.size()},
--- a/src/cell/ownership.cpp
+++ b/src/cell/ownership.cpp
@@ -68,7 +68,12 @@
         commit({}, {}, {});
     }
     m_lastActive = now;
-    return isValid(now) && m_lastCommit >= m_confirmAfter;
+    return isValid(now) && m_lastCommit >= m_confirmAfter && now - lastProof() < proofLifetime;
+}
+
+void Ownership::noteWitnessed(TimePoint sentAt)
+{
+    m_lastWitnessed = std::max(m_lastWitnessed, sentAt);
 }
 
 // Section: following the owner
@@ -317,6 +322,8 @@
 void Ownership::becomeOwner(const OwnerRow &previous, Revision revision)
 {
     m_isOwner = true;
+    m_isSole = previous.epoch.value() == 0;
+    m_lastWitnessed = {};
     m_revision = revision;
     m_leaseChangedAt = BootClock::now();
     m_termStart = m_leaseChangedAt;
@@ -355,6 +362,7 @@
         return false;
     auto pending = std::make_shared<Pending>();
     pending->row = m_owner;
+    pending->row.isSole = m_isSole;
     ++pending->row.number;
     pending->transaction.expected = {{ownerTable, ownerPart, ownerKey, {}, m_revision}};
     pending->transaction.writes = std::move(writes);
@@ -481,6 +489,7 @@
     auto pending = std::make_shared<Pending>();
     pending->row = m_owner;
     ++pending->row.number;
+    pending->row.isSole = m_isSole;
     pending->row.holder.clear();
     pending->row.cores = cores;
     pending->isResignation = true;
--- a/src/cell/ownership.h
+++ b/src/cell/ownership.h
@@ -8,6 +8,20 @@
 // may write the next epoch. Workers keep the highest epoch that they have seen and reject orders
 // of lower ones.
 //
+// What an owner and its successor may assume of each other follows from one rule: an owner grants
+// and concludes no more than its last proof of ownership covers.
+//  - Proofs are a write that took effect and, while the store does not respond, responses of more
+//    than half of the used workers to this owner's epoch. A proof counts from when the write or the
+//    polls were sent, since a successor may exist from then on.
+//  - Grants: an owner sends orders until `proofLifetime` after its last proof, and no lease ends
+//    later than one lease after it.
+//  - Conclusions: that a run has ended because its lease has expired follows only from a write that
+//    was sent after the end of the lease; a successor may have renewed it before.
+// So a successor that has fenced half of the used workers knows that no proof of an earlier owner
+// is younger, and waits one lease from then on for the workers that it cannot read. The used
+// workers in the store stay as they are until earlier owners can no longer act, so that both count
+// the same.
+//
 // Owning the cell takes far more processor time than being a member, so the size of an instance
 // matters: a member that is much smaller than the last owner delays its takeover in favour of
 // larger ones, and an owner resigns when a much larger member queries it.
@@ -21,6 +35,7 @@
 #include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -56,9 +71,14 @@
 constexpr Duration storeCallTimeout = milliseconds(1500);
 constexpr Duration storeRetryPause = milliseconds(150);
 constexpr Duration usualWriteTime = milliseconds(300); // a write older than this may be lost
-// An owner that has not reached the store for this long starts no runs and renews no leases.
-// Longer than the outages that running work must survive.
+// An owner that has not reached the store for this long ends its term. Longer than the outages that
+// running work must survive.
 constexpr Duration maxStoreOutage = seconds(12);
+// Orders are sent for so long after a proof of ownership: longer than it takes to poll all workers
+// while the store does not respond.
+constexpr Duration proofLifetime = seconds(2);
+// Without a write for longer, the owner asks the workers for proofs.
+constexpr Duration recentWrite = milliseconds(500);
 // A process that did not run for longer may have been replaced meanwhile.
 constexpr Duration maxProcessPause = renewalTimeout - renewInterval - milliseconds(50);
 
@@ -97,9 +117,22 @@
     const OwnerRow &owner() const { return m_owner; }
     // False once the owner has not reached the store for `maxStoreOutage`.
     bool isValid(TimePoint now) const;
-    // True if the owner may send orders. Called at least every few 10 ms: after a longer pause of
-    // the process another member may own the cell, so a write has to take effect first.
+    // True if the owner may send orders: its last proof is younger than `proofLifetime`. Called at
+    // least every few 10 ms: after a longer pause of the process another member may own the cell,
+    // so a write has to take effect first.
     bool mayAct(TimePoint now);
+    TimePoint lastWrite() const { return m_lastCommit; } // send time of the last that took effect
+    // None is younger than the end of the term without the store.
+    TimePoint lastProof() const
+    {
+        return std::clamp(m_lastWitnessed, m_lastCommit, m_lastCommit + maxStoreOutage);
+    }
+    // More than half of the used workers have responded to polls of this epoch sent at `sentAt` or
+    // later.
+    void noteWitnessed(TimePoint sentAt);
+    // No earlier owner can act any more; stored with the next write. Set for the first owner.
+    void setSole() { m_isSole = true; }
+    bool isSole() const { return m_isSole; }
     TimePoint lastResponse() const { return m_lastResponse; } // of the store, to the follower
 
     // Writes rows of the owner's part under the owner's condition. `committed` is called once they
@@ -163,12 +196,14 @@
     TimePoint m_leaseChangedAt;    // when the followed row was last seen to change
     Epoch m_endedEpoch = {};       // whose process is known to have ended
     TimePoint m_lastResponse;
-    TimePoint m_lastCommit = {};   // send time of the last write that took effect
-    TimePoint m_lastActive = {};   // last call of mayAct()
-    TimePoint m_confirmAfter = {}; // end of the last pause; a later write allows orders again
+    TimePoint m_lastCommit = {};    // send time of the last write that took effect
+    TimePoint m_lastWitnessed = {}; // last proof by the workers
+    TimePoint m_lastActive = {};    // last call of mayAct()
+    TimePoint m_confirmAfter = {};  // end of the last pause; a later write allows orders again
     TimePoint m_lastRenewal = {};
     TimePoint m_termStart = {};
     bool m_isOwner = false;
+    bool m_isSole = false;
     bool m_isTakingOver = false;
     bool m_isResigning = false;
     bool m_isStoreUnreachable = false;
--- a/src/cell/ownerwatch.cpp
+++ b/src/cell/ownerwatch.cpp
@@ -32,20 +32,18 @@
     const TimePoint now = BootClock::now();
     if (!m_isActive || !m_dispatcher.findWorker(entry->id))
         return;
-    if (!m_ownership.mayAct(now)) {
-        after(entry->timer, tickInterval, [this, entry] { sendWatch(entry); });
-        return;
-    }
     entry->isWaitingForWrite = false;
     entry->isPaused = false;
     const jobs::Worker &worker = *m_dispatcher.findWorker(entry->id);
-    const jobs::WatchOrder order = m_dispatcher.watchOrder(entry->id, now);
+    const jobs::WatchOrder order = m_dispatcher.watchOrder(entry->id);
     // The first poll fences the worker and must not wait; completions that are not acknowledged yet
     // would end the wait at once.
     takePollConnection(*entry, !worker.runs.empty());
     const bool waits = entry->keepsConnection && worker.hasReported
             && worker.completionsProcessed == worker.completionsAcknowledged;
-    const Duration wait = waits ? watchWait : Duration::zero();
+    const bool isStoreSlow = now - m_ownership.lastWrite() > recentWrite;
+    const Duration longest = isStoreSlow ? watchWaitWithoutStore : watchWait;
+    const Duration wait = waits ? longest : Duration::zero();
     m_gateway.watch(entry->target, order, m_ownership.epoch(), wait, entry->keepsConnection,
                     now + wait + watchResponseMargin,
                     [this, alive = m_alive, term = m_term, entry,
--- a/src/cell/tables.cpp
+++ b/src/cell/tables.cpp
@@ -26,6 +26,7 @@
     value["address"] = row.address;
     value["number"] = Json::Int64(row.number);
     value["cores"] = Json::Int64(row.cores.value());
+    value["isSole"] = row.isSole;
     return writeJson(value);
 }
 
@@ -40,11 +41,13 @@
     const auto number = intMember(*value, "number", 0, INT64_MAX);
     // Absent in rows of earlier versions.
     const auto cores = intMember(*value, "cores", 0, INT64_MAX);
+    const bool isSole = (*value)["isSole"].isBool() && (*value)["isSole"].asBool();
     if (!epoch.ok())
         return epoch.status();
     if (!holder.ok() || !address.ok() || !number.ok())
         return makeError(Failure::MalformedBody, "the owner row lacks a field");
-    return OwnerRow{Epoch(*epoch), *holder, *address, *number, Millicores(cores.value_or(0))};
+    return OwnerRow{Epoch(*epoch), *holder, *address, *number, Millicores(cores.value_or(0)),
+                    isSole};
 }
 
 } // namespace cwl::cell
--- a/src/cell/tables.h
+++ b/src/cell/tables.h
@@ -38,6 +38,7 @@
     std::string address = {}; // where the holder serves other members, "ip:port"
     int64_t number = 0;       // of the write; rises within an epoch
     Millicores cores = {};    // processor share of the holder's instance; 0: unknown
+    bool isSole = false;      // no earlier owner can act any more
 
     bool operator==(const OwnerRow &) const = default;
 };
--- a/src/cell/usedworkers.cpp
+++ b/src/cell/usedworkers.cpp
@@ -21,6 +21,15 @@
     return absl::StrCat(workersKey, ".", row);
 }
 
+// The reverse of keyOf().
+size_t UsedWorkers::numberOf(const std::string &key)
+{
+    size_t number = 0;
+    while (number + 1 < rowCount && keyOf(number) != key)
+        ++number;
+    return number;
+}
+
 void UsedWorkers::set(const std::string &id, const std::string &address)
 {
     std::string &known = m_addresses[id];
@@ -46,8 +55,10 @@
     m_addresses.clear();
     m_changed.clear();
     m_hasSingleRow = false;
-    for (std::set<std::string> &ids : m_ids)
-        ids.clear();
+    for (size_t row = 0; row < rowCount; ++row) {
+        m_ids[row].clear();
+        m_stored[row].clear();
+    }
 }
 
 void UsedWorkers::load(const std::vector<Row> &rows)
@@ -76,6 +87,7 @@
     }
     if (!m_hasSingleRow)
         m_changed.clear();
+    m_stored = m_ids;
 }
 
 std::vector<Row> UsedWorkers::takeChanges(size_t most)
@@ -88,6 +100,7 @@
         for (const std::string &id : m_ids[number])
             value[id] = m_addresses.at(id);
         rows.push_back({ownerTable, ownerPart, keyOf(number), writeJson(value)});
+        m_stored[number].insert(m_ids[number].begin(), m_ids[number].end());
     }
     return rows;
 }
@@ -102,12 +115,30 @@
 
 void UsedWorkers::restoreChanges(const std::vector<Row> &rows)
 {
-    for (size_t number = 0; number < rowCount; ++number) {
-        for (const Row &row : rows) {
-            if (row.key == keyOf(number))
-                m_changed.insert(number);
-        }
+    for (const Row &row : rows)
+        m_changed.insert(numberOf(row.key));
+}
+
+std::vector<std::string> UsedWorkers::confirmChanges(const std::vector<Row> &rows)
+{
+    std::vector<std::string> workers;
+    for (const Row &row : rows) {
+        const absl::StatusOr<Json::Value> value = parseJson(row.value);
+        if (!value.ok())
+            continue; // takeChanges() writes only what can be read
+        const std::vector<std::string> ids = value->getMemberNames();
+        m_stored[numberOf(row.key)] = {ids.begin(), ids.end()};
+        workers.insert(workers.end(), ids.begin(), ids.end());
     }
+    return workers;
+}
+
+size_t UsedWorkers::storedAtMost() const
+{
+    size_t count = 0;
+    for (const std::set<std::string> &ids : m_stored)
+        count += ids.size();
+    return count;
 }
 
 } // namespace cwl::cell
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -4,6 +4,7 @@
 #include "node/log.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace cwl::jobs {
 
@@ -57,7 +58,8 @@
     m_predecessorLeaseEnd = predecessorLeaseEnd;
     m_isRecoveryComplete = false;
     m_ownershipConfirmedAt = {};
-    m_newestJobKnownAt = {};
+    m_provenAt = {};
+    m_awaitsWriteAfter = {};
     m_servicePools.clear();
     m_workers.clear();
     m_jobs.clear();
@@ -75,6 +77,21 @@
     }
 }
 
+std::optional<TimePoint> Dispatcher::respondedSince(size_t count) const
+{
+    std::vector<TimePoint> times;
+    for (const auto &[id, worker] : m_workers) {
+        if (worker->isRecorded && worker->hasReported
+            && isConfirmedAfter(worker->incarnationSeenAt))
+            times.push_back(worker->incarnation.confirmedAt);
+    }
+    if (count == 0 || times.size() < count)
+        return std::nullopt;
+    const auto last = times.begin() + ptrdiff_t(count - 1);
+    std::nth_element(times.begin(), last, times.end(), std::greater<>());
+    return *last;
+}
+
 // Section: configuration and workers
 
 void Dispatcher::setConfig(const CellConfig &config)
@@ -95,7 +112,6 @@
     std::unique_ptr<Worker> &worker = m_workers[entry.id.value()];
     if (!worker) {
         worker = std::make_unique<Worker>();
-        worker->leaseExpiresAt = m_predecessorLeaseEnd;
         worker->lastReport = now;
     }
     const bool beganDraining = entry.isDraining && !worker->entry.isDraining;
@@ -110,6 +126,25 @@
                    {"runs", worker->runs.size()}});
 }
 
+void Dispatcher::restoreWorker(const WorkerId &id, const std::string &address, TimePoint now)
+{
+    WorkerEntry entry;
+    entry.id = id;
+    entry.address = address;
+    putWorker(entry, now);
+    unlistWorker(id, now);
+    Worker &worker = *m_workers.at(id.value());
+    worker.isRecorded = true;
+    worker.leaseExpiresAt = m_predecessorLeaseEnd;
+}
+
+void Dispatcher::noteRecorded(const WorkerId &id)
+{
+    const auto worker = m_workers.find(id.value());
+    if (worker != m_workers.end())
+        worker->second->isRecorded = true;
+}
+
 void Dispatcher::unlistWorker(const WorkerId &id, TimePoint now)
 {
     const auto worker = m_workers.find(id.value());
@@ -137,7 +172,7 @@
     return worker == m_workers.end() ? nullptr : worker->second.get();
 }
 
-WatchOrder Dispatcher::watchOrder(const WorkerId &id, TimePoint now)
+WatchOrder Dispatcher::watchOrder(const WorkerId &id)
 {
     Worker &worker = *m_workers.at(id.value());
     WatchOrder order;
@@ -146,14 +181,18 @@
     // A renewal may take effect even if its response is lost, so it would postpone the expiry of
     // the lease.
     if (worker.hasReported && !worker.lastPollFailed)
-        order.leaseUntilMs = leaseDeadline(worker, now);
+        order.leaseUntilMs = leaseDeadline(worker);
     return order;
 }
 
-bool Dispatcher::isRemovable(const WorkerId &id, TimePoint now) const
+std::vector<WorkerId> Dispatcher::removableWorkers() const
 {
-    const Worker *const worker = findWorker(id);
-    return worker && !worker->isListed && worker->runs.empty() && now > worker->leaseExpiresAt;
+    std::vector<WorkerId> removable;
+    for (const auto &[id, worker] : m_workers) {
+        if (!worker->isListed && worker->runs.empty() && hasLapsed(*worker))
+            removable.emplace_back(id);
+    }
+    return removable;
 }
 
 void Dispatcher::forgetWorker(const WorkerId &id)
@@ -240,7 +279,7 @@
     job->spec = std::move(spec);
     job->arrivedAt = now;
     job->knownAt = now;
-    m_newestJobKnownAt = std::max(m_newestJobKnownAt, now);
+    m_awaitsWriteAfter = std::max(m_awaitsWriteAfter, now);
     predictTimes(*job);
     log::info("job_known",
               {{"job", job->spec.id.value()},
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -14,13 +14,20 @@
 //  - an order without a response is stopped, because the worker may still execute it later;
 //  - a run that a worker no longer lists has ended; while the worker has more ends than its report
 //    lists, nothing follows from what is not listed;
-//  - a job taken over from an earlier owner starts nothing until every worker has listed all its
-//    ends or its lease has expired;
+//  - a run whose lease has expired has ended only once a write to the store, sent later, has taken
+//    effect: before, a newer owner may have read the run and renewed its lease;
+//  - no lease is granted beyond one lease after the last proof of ownership;
+//  - a worker gets starts only once the store lists it as used, so that a later owner looks for
+//  runs
+//    there;
+//  - a job taken over from an earlier owner starts nothing until every worker that was used has
+//    listed all its ends or its lease has expired;
 //  - a job learned of after the takeover starts only once a write sent later has taken effect: a
 //    newer owner reads the jobs after its takeover, so it knows that this owner may have started
 //    the job;
-//  - a restarted worker has lost its fencing token: it gets starts again only once a write to the
-//    store has shown that this owner had not been superseded when it saw the restart;
+//  - a restarted worker has lost its fencing token: it gets starts, and runs that it does not list
+//    count as ended, only once a write to the store has shown that this owner had not been
+//    superseded when it first saw the process;
 //  - cursors and times on a worker's clock go only to the process of the worker that reported them.
 
 #pragma once
@@ -158,19 +165,26 @@
     // Section: ownership
 
     // Discards all state and starts as the owner with this epoch. Until `predecessorLeaseEnd`,
-    // workers that have not reported may run tasks that the previous owner started.
+    // used workers that have not reported may run tasks that earlier owners started.
     void begin(Epoch epoch, TimePoint predecessorLeaseEnd);
     void setPredecessorEnds(TimePoint latest);
+    // The latest time such that `count` used workers have responded to polls of this owner that
+    // were sent then or later; none if fewer have. Processes that a newer owner may have fenced
+    // before they restarted do not count.
+    std::optional<TimePoint> respondedSince(size_t count) const;
 
     // Section: configuration and workers
 
     void setConfig(const CellConfig &config);
     void putWorker(const WorkerEntry &entry, TimePoint now);
+    // A worker that earlier owners may have used; not listed until putWorker() says so.
+    void restoreWorker(const WorkerId &id, const std::string &address, TimePoint now);
+    void noteRecorded(const WorkerId &id); // the store lists it among the used workers
     void unlistWorker(const WorkerId &id, TimePoint now);
     std::vector<WorkerId> knownWorkers() const;
     const Worker *findWorker(const WorkerId &id) const;
-    WatchOrder watchOrder(const WorkerId &id, TimePoint now);
-    bool isRemovable(const WorkerId &id, TimePoint now) const; // unlisted, nothing can run there
+    WatchOrder watchOrder(const WorkerId &id);
+    std::vector<WorkerId> removableWorkers() const; // unlisted, nothing can run there
     void forgetWorker(const WorkerId &id);
 
     // Section: jobs
@@ -207,9 +221,12 @@
     void confirmOwnership(TimePoint sentAt)
     {
         m_ownershipConfirmedAt = std::max(m_ownershipConfirmedAt, sentAt);
+        proveOwnership(sentAt);
     }
-    // True while jobs wait for such a write.
-    bool awaitsConfirmation() const { return m_newestJobKnownAt > m_ownershipConfirmedAt; }
+    // The last proof of ownership was sent at `sentAt`; leases are granted from then on.
+    void proveOwnership(TimePoint sentAt) { m_provenAt = std::max(m_provenAt, sentAt); }
+    // True while jobs or processes of workers wait for a write.
+    bool awaitsConfirmation() const { return m_awaitsWriteAfter > m_ownershipConfirmedAt; }
 
     // Section: statistics
 
@@ -281,13 +298,16 @@
     void removeRun(Worker &worker, const std::string &task);
     void wait(Job &job, const TaskAddress &address);
     void onRunEnded(Worker &worker, const EndedTask &completion, TimePoint now);
-    void markRunsLost(Worker &worker, const char *reason, TimePoint now);
-    void onRestart(Worker &worker, int64_t born, TimePoint now);
+    void markRunsLost(Worker &worker, TimePoint now);
+    void onRestart(Worker &worker, int64_t born);
+    bool isConfirmedAfter(TimePoint time) const { return m_ownershipConfirmedAt > time; }
+    // All runs on the worker have ended with its lease, and no newer owner has renewed it.
+    bool hasLapsed(const Worker &worker) const { return isConfirmedAfter(worker.leaseExpiresAt); }
     void markTaskDone(Job &job, const TaskAddress &address, TimePoint now);
     void recordFailure(Job &job, const TaskAddress &address, int64_t attempt, Worker &worker,
                        TimePoint now);
     void updateRun(Worker &worker, const RunningTask &running, TimePoint now);
-    void removeUnlistedRuns(Worker &worker, const WorkerReport &report, TimePoint sentAt);
+    void removeUnlistedRuns(Worker &worker, const UnprovenReport &report);
     void stopGang(Job &job, const TaskAddress &member);
     void stopIfStalled(Worker &worker, Run &run, TimePoint now);
     StepState *findStep(Job &job, const TaskAddress &address);
@@ -296,7 +316,8 @@
 
     // Section: placement (placement.cpp)
     void updateServicePools(TimePoint now);
-    bool isRecoveryComplete(TimePoint now);
+    bool isRecoveryComplete();
+    void applyUnprovenReport(Worker &worker);
     bool isReady(const Occurrence &occurrence, const Job &job, uint32_t step) const;
     DeadlineOutlook deadlineOutlook(const Job &job, const Occurrence &occurrence, uint32_t step,
                                     TimePoint now) const;
@@ -315,7 +336,7 @@
     const Ticket *findTicket(const StepState &step, const Worker &worker, TimePoint now) const;
     void start(const Candidate &candidate, uint32_t index, Worker &worker, int64_t attempt,
                Orders &orders, TimePoint now);
-    int64_t leaseDeadline(Worker &worker, TimePoint now);
+    int64_t leaseDeadline(Worker &worker);
     TimePoint expectedFreeAt(const Worker &worker, const Step &step, TimePoint now) const;
     void reserveWorkers(const Candidate &candidate, TimePoint now);
 
@@ -352,8 +373,10 @@
     std::unordered_map<std::string, ServicePool> m_servicePools;
     std::vector<Worker *> m_reserved;                       // for large tasks, during one pass
     std::unordered_map<std::string, double> m_allowedShare; // by queue, smoothed
-    TimePoint m_newestJobKnownAt = {};                      // when this owner learned of it
+    // When this owner learned of its newest job or process of a worker.
+    TimePoint m_awaitsWriteAfter = {};
     TimePoint m_ownershipConfirmedAt = {}; // send time of the last write that took effect
+    TimePoint m_provenAt = {};             // send time of the last proof of ownership
     RuntimeModel m_runtimes; // outlives a change of the owner: it describes the queues
     TimePoint m_nextPrediction = {};
     TimePoint m_poolsLoggedAt = {};
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -66,13 +66,20 @@
     });
 }
 
-bool Dispatcher::isRecoveryComplete(TimePoint now)
+bool Dispatcher::isRecoveryComplete()
 {
     if (m_isRecoveryComplete)
         return true;
     m_isRecoveryComplete = std::all_of(m_workers.begin(), m_workers.end(), [&](const auto &entry) {
-        return entry.second->isRecovered || now > entry.second->leaseExpiresAt;
+        return entry.second->isRecovered || hasLapsed(*entry.second);
     });
+    if (m_isRecoveryComplete)
+        log::info("recovery_complete",
+                  {{"epoch", m_epoch.value()},
+                   {"workers", m_workers.size()},
+                   {"unread",
+                    std::count_if(m_workers.begin(), m_workers.end(),
+                                  [](const auto &entry) { return !entry.second->isRecovered; })}});
     return m_isRecoveryComplete;
 }
 
@@ -90,7 +97,7 @@
 std::vector<Dispatcher::Candidate> Dispatcher::candidates(TimePoint now)
 {
     std::vector<Candidate> found;
-    const bool settled = isRecoveryComplete(now);
+    const bool settled = isRecoveryComplete();
     for (Job *job : m_open) {
         if (isFinal(job->state) || (job->isRestored && !settled))
             continue;
@@ -134,8 +141,9 @@
 {
     Orders orders;
     for (auto &[id, worker] : m_workers) {
-        if (!worker->runs.empty() && now > worker->leaseExpiresAt)
-            markRunsLost(*worker, "lease expired", now);
+        applyUnprovenReport(*worker);
+        if (!worker->runs.empty() && hasLapsed(*worker))
+            markRunsLost(*worker, now);
         if (worker->entry.isDraining)
             evacuate(*worker, now);
         if (worker->backfillUsed.value() > 0)
@@ -210,18 +218,17 @@
     return reservedResources(step).fitsIn(freeCapacity(worker));
 }
 
-// Conditions for any task: the worker is listed, healthy and has reported to this owner, its entry
-// and its report are of the same process, and the owner has been confirmed since the worker's last
-// restart.
+// Conditions for any task: the worker is listed, healthy, recorded as used and has reported to this
+// owner, its entry and its report are of the same process, and the owner has been confirmed since
+// it first saw that process.
 bool Dispatcher::mayStart(const Worker &worker, TimePoint now) const
 {
     const bool isEntryCurrent = worker.entry.born == 0 || worker.incarnation.born == 0
             || worker.entry.born == worker.incarnation.born;
     return worker.hasReported && isEntryCurrent && worker.isListed && !worker.entry.isDraining
-            && worker.unknownRuns == 0 && now >= worker.excludedUntil
+            && worker.isRecorded && worker.unknownRuns == 0 && now >= worker.excludedUntil
             && now - worker.lastReport <= maxReportAge
-            && (worker.restartSeenAt == TimePoint()
-                || m_ownershipConfirmedAt > worker.restartSeenAt);
+            && isConfirmedAfter(worker.incarnationSeenAt);
 }
 
 // Conditions for this task, on a worker that may get starts.
@@ -335,9 +342,10 @@
 
 // Section: starts
 
-int64_t Dispatcher::leaseDeadline(Worker &worker, TimePoint now)
+// The end of a lease on the worker's clock: one lease after the last proof of ownership.
+int64_t Dispatcher::leaseDeadline(Worker &worker)
 {
-    const Duration untilEnd = now - worker.clockReadAt + m_settings.lease;
+    const Duration untilEnd = m_provenAt - worker.clockReadAt + m_settings.lease;
     const int64_t deadline =
             worker.clockMs + std::chrono::duration_cast<milliseconds>(untilEnd).count();
     const auto worstCase = Duration(int64_t(double(untilEnd.count()) / (1 - maxWorkerClockDrift)));
@@ -364,7 +372,7 @@
     order.payload = candidate.job->spec.payload;
     order.checkpoint = state.tasks[index].progress.checkpoint;
     order.ticket = ticket ? ticket->text : std::string();
-    order.leaseUntilMs = leaseDeadline(worker, now);
+    order.leaseUntilMs = leaseDeadline(worker);
     order.incarnation = worker.incarnation;
     run.isFromStart = order.checkpoint.empty();
     log::info("run_ordered",
--- a/src/jobs/runs.cpp
+++ b/src/jobs/runs.cpp
@@ -245,14 +245,15 @@
         removeRun(worker, completion.task);
 }
 
-void Dispatcher::markRunsLost(Worker &worker, const char *reason, TimePoint now)
+// The lease of the worker has expired.
+void Dispatcher::markRunsLost(Worker &worker, TimePoint now)
 {
     if (worker.runs.empty())
         return;
     log::warn("worker_runs_lost",
               {{"worker", worker.entry.id.value()},
-               {"reason", reason},
                {"runs", worker.runs.size()},
+               {"lease_ended", now - worker.leaseExpiresAt},
                {"report_age", now - worker.lastReport}});
     m_statistics.lost += worker.runs.size();
     const std::vector<std::pair<std::string, Run>> lost(worker.runs.begin(), worker.runs.end());
@@ -265,9 +266,8 @@
 
 // The worker has restarted. Orders that were in flight may have arrived before or after the
 // restart, so this report and the next one show which runs are left.
-void Dispatcher::onRestart(Worker &worker, int64_t born, TimePoint now)
+void Dispatcher::onRestart(Worker &worker, int64_t born)
 {
-    worker.restartSeenAt = now;
     log::warn("worker_restarted",
               {{"worker", worker.entry.id.value()},
                {"born", born},
@@ -306,6 +306,8 @@
         stopIfStalled(worker, run, now);
         return;
     }
+    // An earlier owner ordered it.
+    worker.leaseExpiresAt = std::max(worker.leaseExpiresAt, m_predecessorLeaseEnd);
     Run run;
     run.attempt = running.attempt;
     run.phase = RunPhase::Running;
@@ -338,16 +340,13 @@
 
 // Removes the runs that have ended: those that certainly began or were permanently rejected and
 // that the report, which lists all ends, no longer lists.
-void Dispatcher::removeUnlistedRuns(Worker &worker, const WorkerReport &report, TimePoint sentAt)
+void Dispatcher::removeUnlistedRuns(Worker &worker, const UnprovenReport &report)
 {
-    std::unordered_map<std::string, int64_t> listed;
-    for (const RunningTask &running : report.running)
-        listed.emplace(running.task, running.attempt);
     std::vector<std::pair<std::string, Run>> over;
     for (const auto &[task, run] : worker.runs) {
-        const bool isListed = listed.contains(task);
-        const bool wasConfirmed = run.confirmedAt != TimePoint() && run.confirmedAt < sentAt;
-        const bool wasStopped = run.stopAckedAt != TimePoint() && run.stopAckedAt < sentAt;
+        const bool isListed = report.running.contains(task);
+        const bool wasConfirmed = run.confirmedAt != TimePoint() && run.confirmedAt < report.sentAt;
+        const bool wasStopped = run.stopAckedAt != TimePoint() && run.stopAckedAt < report.sentAt;
         if (!isListed && (wasConfirmed || wasStopped))
             over.emplace_back(task, run);
     }
@@ -363,6 +362,14 @@
     }
 }
 
+// Applies the report that waits for a write, once one that was sent later has taken effect.
+void Dispatcher::applyUnprovenReport(Worker &worker)
+{
+    if (!worker.unproven || !isConfirmedAfter(worker.unproven->receivedAt))
+        return;
+    removeUnlistedRuns(worker, *std::exchange(worker.unproven, std::nullopt));
+}
+
 void Dispatcher::stopIfStalled(Worker &worker, Run &run, TimePoint now)
 {
     const bool isWorking = run.job && run.phase == RunPhase::Running && run.pace == 100
@@ -395,7 +402,11 @@
         return;
     Worker &worker = *found->second;
     if (worker.incarnation.born != 0 && report.born != 0 && report.born != worker.incarnation.born)
-        onRestart(worker, report.born, now);
+        onRestart(worker, report.born);
+    if (!worker.hasReported || (report.born != 0 && report.born != worker.incarnation.born)) {
+        worker.incarnationSeenAt = now;
+        m_awaitsWriteAfter = std::max(m_awaitsWriteAfter, now);
+    }
     if (report.born != 0)
         worker.incarnation.born = report.born;
     worker.incarnation.confirmedAt = sentAt;
@@ -429,7 +440,15 @@
     if (report.hasMoreEnds)
         return;
     worker.isRecovered = true;
-    removeUnlistedRuns(worker, report, sentAt);
+    UnprovenReport listed = {.sentAt = sentAt, .receivedAt = now};
+    for (const RunningTask &running : report.running)
+        listed.running.emplace(running.task, running.attempt);
+    if (isConfirmedAfter(worker.incarnationSeenAt)) {
+        worker.unproven.reset();
+        removeUnlistedRuns(worker, listed);
+    } else if (!worker.runs.empty() && !worker.unproven) {
+        worker.unproven = std::move(listed);
+    }
 }
 
 // Section: responses
@@ -446,9 +465,8 @@
     const auto found = m_workers.find(id.value());
     if (found == m_workers.end())
         return;
-    Worker &worker = *found->second;
-    markRunsLost(worker, "replaced", now);
-    worker.leaseExpiresAt = std::min(worker.leaseExpiresAt, now);
+    // Its runs count as lost once a write shows that no newer owner had taken them over.
+    found->second->leaseExpiresAt = std::min(found->second->leaseExpiresAt, now);
     unlistWorker(id, now);
 }
 
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -6,6 +6,7 @@
 #include "jobs/types.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -118,27 +119,39 @@
 
 // Section: workers
 
+// Runs that a report of a process does not list, where the process may have restarted since a newer
+// owner fenced it: kept until a write shows that there was no newer owner.
+struct UnprovenReport
+{
+    std::unordered_map<std::string, int64_t> running = {}; // attempts by task
+    TimePoint sentAt = {};
+    TimePoint receivedAt = {};
+};
+
 struct Worker
 {
     WorkerEntry entry;
     bool isListed = true;
+    // The store lists it among the used workers: a later owner will look for runs there.
+    bool isRecorded = false;
     bool hasReported = false; // it has reported to this owner
     bool isRecovered = false; // and listed all that an earlier owner may have started there
     bool hasMoreEnds = false; // than the last report lists
     Resources used = {};
     Millicores backfillUsed = {};
     bool lastPollFailed = false;
-    Incarnation incarnation = {}; // that sent the last report
-    TimePoint restartSeenAt = {}; // when this owner saw it restart; zero: never
-    int64_t clockMs = 0;          // the worker's clock, read ...
-    TimePoint clockReadAt = {};   // ... at this instant or earlier
+    Incarnation incarnation = {};     // that sent the last report
+    TimePoint incarnationSeenAt = {}; // its first report to this owner
+    int64_t clockMs = 0;              // the worker's clock, read ...
+    TimePoint clockReadAt = {};       // ... at this instant or earlier
     TimePoint lastReport = {};
     TimePoint leaseExpiresAt = {}; // all its runs have ended by then unless it is renewed
     int64_t completionsProcessed = 0;
     int64_t completionsAcknowledged = 0;            // their effects are stored
     std::unordered_map<std::string, Run> runs = {}; // by task
-    uint32_t unknownRuns = 0;                       // runs with unknown resources
-    uint32_t servingRuns = 0;                       // runs with a latency target
+    std::optional<UnprovenReport> unproven = {};
+    uint32_t unknownRuns = 0; // runs with unknown resources
+    uint32_t servingRuns = 0; // runs with a latency target
     uint32_t consecutiveFailures = 0;
     TimePoint excludedUntil = {};     // gets no starts before
     bool isInPool = false;            // may get starts during this pass
--- a/tests/cell/ownership_test.cpp
+++ b/tests/cell/ownership_test.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(ownerDoesNotYieldToAnEqualMember);
     CPPUNIT_TEST(pausedOwnerConfirmsItsOwnershipBeforeItActs);
     CPPUNIT_TEST(refusedRowsDoNotEndTheOwnership);
+    CPPUNIT_TEST(ownerWithoutAProofDoesNotAct);
+    CPPUNIT_TEST(onlyTheFirstOwnerIsSoleAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -103,6 +105,53 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), m_store.value("progress", ownerPart, "5c0e"));
     }
 
+    // Guards against an owner that is alone without the store and goes on: a successor that has
+    // fenced half of the workers counts on its end.
+    void ownerWithoutAProofDoesNotAct()
+    {
+        Ownership &owner = add("owner", large);
+        runUntil("it owns the cell", [&] { return owner.isOwner(); });
+        m_store.isDown = true;
+        const TimePoint lastWrite = owner.lastWrite();
+        const auto actUntil = [&](TimePoint end) {
+            runUntil("the proof is old", [&] {
+                CPPUNIT_ASSERT_EQUAL(BootClock::now() < owner.lastProof() + proofLifetime,
+                                     owner.mayAct(BootClock::now()));
+                return BootClock::now() > end;
+            });
+        };
+        actUntil(lastWrite + proofLifetime + milliseconds(100));
+        CPPUNIT_ASSERT(!owner.mayAct(BootClock::now()));
+        CPPUNIT_ASSERT(owner.isOwner());
+        owner.noteWitnessed(BootClock::now());
+        CPPUNIT_ASSERT(owner.mayAct(BootClock::now()));
+        owner.noteWitnessed(BootClock::now() + seconds(60));
+        CPPUNIT_ASSERT(owner.lastProof() == lastWrite + maxStoreOutage);
+    }
+
+    // Guards against a successor that takes the only earlier owner that it knows for the only one
+    // that can act.
+    void onlyTheFirstOwnerIsSoleAtOnce()
+    {
+        Ownership &first = add("first", large);
+        runUntil("the first member owns the cell", [&] { return first.isOwner(); });
+        CPPUNIT_ASSERT(first.isSole());
+        Ownership &second = add("second", large);
+        runUntil("it follows the owner", [&] { return second.owner().holder == "first"; });
+        first.resign([] {});
+        runUntil("the second member owns the cell", [&] { return second.isOwner(); });
+        CPPUNIT_ASSERT(!second.isSole());
+        second.setSole();
+        bool isStored = false;
+        runUntil("the next write is stored", [&] {
+            second.commit({}, {}, [&](bool stored) { isStored = stored; });
+            return isStored;
+        });
+        const auto row = decodeOwner(m_store.value(ownerTable, ownerPart, ownerKey));
+        CPPUNIT_ASSERT(row.ok());
+        CPPUNIT_ASSERT(row->isSole);
+    }
+
     // Guards against an owner that was paused, in which time another member may have taken over,
     // and that sends orders before it has heard from the store.
     void pausedOwnerConfirmsItsOwnershipBeforeItActs()
--- a/tests/cell/usedworkers_test.cpp
+++ b/tests/cell/usedworkers_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(singleRowOfEarlierVersionsIsRead);
     CPPUNIT_TEST(unreadableRowLosesOnlyItsOwnWorkers);
     CPPUNIT_TEST(impossibleAddressIsLeftOut);
+    CPPUNIT_TEST(writesInFlightCountAsStored);
     CPPUNIT_TEST_SUITE_END();
 
     static std::string idOf(size_t number) { return absl::StrCat("i-4f6647b8", number); }
@@ -82,6 +83,23 @@
         CPPUNIT_ASSERT_EQUAL(size_t(1), workers.addresses().size());
         CPPUNIT_ASSERT(workers.addresses().contains("i-2"));
     }
+
+    // Guards against an owner that counts fewer workers than its successor may read from the store:
+    // each of them needs a part of all.
+    void writesInFlightCountAsStored()
+    {
+        UsedWorkers workers;
+        workers.set("i-1", "10.0.0.1:80");
+        CPPUNIT_ASSERT_EQUAL(size_t(0), workers.storedAtMost());
+        const std::vector<Row> first = workers.takeChanges(10);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), workers.storedAtMost());
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), workers.confirmChanges(first).at(0));
+        workers.erase("i-1");
+        const std::vector<Row> second = workers.takeChanges(10);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), workers.storedAtMost()); // the write may fail
+        CPPUNIT_ASSERT(workers.confirmChanges(second).empty());
+        CPPUNIT_ASSERT_EQUAL(size_t(0), workers.storedAtMost());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UsedWorkersTest);
--- a/tests/jobs/dispatcher_test.cpp
+++ b/tests/jobs/dispatcher_test.cpp
@@ -55,9 +55,17 @@
     CPPUNIT_TEST(restoredJobWaitsForEndsBeyondTheList);
     CPPUNIT_TEST(restartedWorkerGetsNoStartBeforeItsEntryIsRead);
     CPPUNIT_TEST(restartedWorkerGetsNoStartBeforeItsReportIsRead);
+    CPPUNIT_TEST(expiredLeaseNeedsALaterStoreWrite);
+    CPPUNIT_TEST(replacedWorkersRunNeedsALaterStoreWrite);
+    CPPUNIT_TEST(runMissingAfterARestartNeedsALaterStoreWrite);
+    CPPUNIT_TEST(leaseEndsOneLeaseAfterTheLastProof);
+    CPPUNIT_TEST(firstSeenProcessNeedsALaterStoreWrite);
+    CPPUNIT_TEST(workerGetsNoStartBeforeItIsRecorded);
+    CPPUNIT_TEST(responsesOfUnprovenProcessesDoNotCount);
     CPPUNIT_TEST_SUITE_END();
 
     Dispatcher m_dispatcher{DispatcherSettings{}};
+    int64_t m_attempt = 0; // of the run that startOnOneOfTwo() started
 
     void putWorker(const std::string &id, int64_t cores, bool isDraining = false, int64_t born = 0)
     {
@@ -68,9 +76,38 @@
         entry.capacity = {Millicores(cores), Mebibytes(10000), {}};
         entry.isDraining = isDraining;
         entry.born = born;
+        if (!m_dispatcher.findWorker(entry.id))
+            m_dispatcher.restoreWorker(entry.id, entry.address, at(0));
         m_dispatcher.putWorker(entry, at(0));
     }
 
+    // A listed worker that no owner has used yet.
+    void putUnrecordedWorker(const std::string &id)
+    {
+        WorkerEntry entry;
+        entry.id = WorkerId(id);
+        entry.address = id;
+        entry.service = "service";
+        entry.capacity = {Millicores(1000), Mebibytes(10000), {}};
+        m_dispatcher.putWorker(entry, at(0));
+    }
+
+    // Starts a task on worker a, which then falls silent; worker b has room for it too.
+    void startOnOneOfTwo()
+    {
+        m_dispatcher.begin(Epoch(2), at(0));
+        putWorker("a", 1000);
+        report("a", 10);
+        m_dispatcher.addJob(makeJob("j", 1, 1000), at(10));
+        const Orders orders = decide(20);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), orders.starts.size());
+        m_attempt = orders.starts[0].attempt;
+        m_dispatcher.onStartAnswered(orders.starts[0], OrderAnswer::Accepted, at(25));
+        putWorker("b", 1000);
+        report("b", 30);
+        m_dispatcher.confirmOwnership(at(40));
+    }
+
     void report(const std::string &id, int64_t ms, const std::vector<RunningTask> &running = {},
                 const std::vector<EndedTask> &ended = {}, int64_t born = 1)
     {
@@ -170,11 +207,9 @@
         m_dispatcher.addJob(makeJob("j", 1, 1000), at(10));
         const Orders orders = decide(20);
         report("a", 500, {}, {{1, "j.0.0.0", orders.starts[0].attempt, EndKind::Done, ""}});
-        CPPUNIT_ASSERT_EQUAL(int64_t(0),
-                             m_dispatcher.watchOrder(WorkerId("a"), at(501)).acknowledged);
+        CPPUNIT_ASSERT_EQUAL(int64_t(0), m_dispatcher.watchOrder(WorkerId("a")).acknowledged);
         m_dispatcher.committed(m_dispatcher.collect());
-        CPPUNIT_ASSERT_EQUAL(int64_t(1),
-                             m_dispatcher.watchOrder(WorkerId("a"), at(502)).acknowledged);
+        CPPUNIT_ASSERT_EQUAL(int64_t(1), m_dispatcher.watchOrder(WorkerId("a")).acknowledged);
     }
 
     void completedIsReportedOnceStored()
@@ -217,7 +252,7 @@
         m_dispatcher.onStartAnswered(first.starts[0], OrderAnswer::Accepted, at(25));
         for (int64_t ms = 100; ms < 8000; ms += 500) {
             report("b", ms);
-            m_dispatcher.watchOrder(WorkerId("a"), at(ms));
+            m_dispatcher.watchOrder(WorkerId("a"));
             m_dispatcher.onPollFailed(WorkerId("a"));
         }
         const Orders second = decide(8010);
@@ -306,7 +341,9 @@
         const Orders orders = decide(50);
         CPPUNIT_ASSERT_EQUAL(size_t(1), orders.starts.size());
         CPPUNIT_ASSERT_EQUAL(std::string("stays"), orders.starts[0].worker.value());
-        CPPUNIT_ASSERT(m_dispatcher.isRemovable(WorkerId("left"), at(50)));
+        const std::vector<WorkerId> removable = m_dispatcher.removableWorkers();
+        CPPUNIT_ASSERT_EQUAL(size_t(1), removable.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("left"), removable[0].value());
     }
 
     // Guards against tasks of many minutes that are stopped over and over, since a percent of them
@@ -525,6 +562,102 @@
         report("a", 50, {}, {}, 2);
         CPPUNIT_ASSERT_EQUAL(size_t(1), decide(60).starts.size());
     }
+
+    // Guards against two runs of one task: an owner without the store took a lease for expired that
+    // its successor had renewed, and started the task on a worker that the successor had not
+    // reached.
+    void expiredLeaseNeedsALaterStoreWrite()
+    {
+        startOnOneOfTwo();
+        report("b", 5990);
+        CPPUNIT_ASSERT(decideUnconfirmed(6000).starts.empty());
+        m_dispatcher.confirmOwnership(at(4000)); // sent before the end of the lease
+        CPPUNIT_ASSERT(decideUnconfirmed(6010).starts.empty());
+        m_dispatcher.confirmOwnership(at(6005));
+        CPPUNIT_ASSERT_EQUAL(size_t(1), decideUnconfirmed(6020).starts.size());
+    }
+
+    // The same where another worker responds at the address: a newer owner may have started the
+    // task again since.
+    void replacedWorkersRunNeedsALaterStoreWrite()
+    {
+        startOnOneOfTwo();
+        m_dispatcher.onWorkerReplaced(WorkerId("a"), at(100));
+        CPPUNIT_ASSERT(decideUnconfirmed(110).starts.empty());
+        m_dispatcher.confirmOwnership(at(120));
+        CPPUNIT_ASSERT_EQUAL(size_t(1), decideUnconfirmed(130).starts.size());
+    }
+
+    // The same where the worker has restarted: it has lost the fencing token of a newer owner,
+    // which may have started the task again since.
+    void runMissingAfterARestartNeedsALaterStoreWrite()
+    {
+        startOnOneOfTwo();
+        report("a", 100, {}, {}, 2);
+        report("a", 120, {}, {}, 2);
+        CPPUNIT_ASSERT(decideUnconfirmed(130).starts.empty());
+        m_dispatcher.confirmOwnership(at(140));
+        CPPUNIT_ASSERT_EQUAL(size_t(1), decideUnconfirmed(150).starts.size());
+    }
+
+    // Guards against the mutation LEASE_OUTLASTS_PROOF of model/cell.pml: a successor counts the
+    // leases of an earlier owner from its last proof of ownership.
+    void leaseEndsOneLeaseAfterTheLastProof()
+    {
+        putWorker("a", 1000);
+        m_dispatcher.confirmOwnership(at(20));
+        report("a", 3000);
+        const int64_t clockAhead = 5000;
+        CPPUNIT_ASSERT_EQUAL(int64_t(20 + 4500) + clockAhead,
+                             *m_dispatcher.watchOrder(WorkerId("a")).leaseUntilMs);
+        m_dispatcher.proveOwnership(at(2000)); // by the workers
+        CPPUNIT_ASSERT_EQUAL(int64_t(2000 + 4500) + clockAhead,
+                             *m_dispatcher.watchOrder(WorkerId("a")).leaseUntilMs);
+    }
+
+    // Guards against the mutation RESTARTED_WORKER_IS_TRUSTED of model/cell.pml for a worker that
+    // the owner sees for the first time: it may have restarted since a newer owner fenced it.
+    void firstSeenProcessNeedsALaterStoreWrite()
+    {
+        putWorker("a", 1000);
+        m_dispatcher.addJob(makeJob("j", 1, 1000), at(0));
+        m_dispatcher.confirmOwnership(at(5));
+        report("a", 10);
+        CPPUNIT_ASSERT(decideUnconfirmed(20).starts.empty());
+        CPPUNIT_ASSERT(m_dispatcher.awaitsConfirmation());
+        m_dispatcher.confirmOwnership(at(25));
+        CPPUNIT_ASSERT_EQUAL(size_t(1), decideUnconfirmed(30).starts.size());
+    }
+
+    // Guards against runs that a later owner does not look for: one on a worker that was listed
+    // only for a moment, and that the store did not name as used yet.
+    void workerGetsNoStartBeforeItIsRecorded()
+    {
+        putUnrecordedWorker("a");
+        report("a", 10);
+        m_dispatcher.addJob(makeJob("j", 1, 1000), at(10));
+        CPPUNIT_ASSERT(decide(20).starts.empty());
+        m_dispatcher.noteRecorded(WorkerId("a"));
+        CPPUNIT_ASSERT_EQUAL(size_t(1), decide(30).starts.size());
+    }
+
+    // Guards against an owner that takes the response of a restarted worker, which may have been
+    // fenced before, for a proof that there is no newer owner.
+    void responsesOfUnprovenProcessesDoNotCount()
+    {
+        for (const char *id : {"a", "b", "c"}) {
+            putWorker(id, 1000);
+            report(id, 10);
+        }
+        m_dispatcher.confirmOwnership(at(20));
+        report("a", 100);
+        report("b", 200);
+        CPPUNIT_ASSERT(at(98) == *m_dispatcher.respondedSince(2));
+        CPPUNIT_ASSERT(at(8) == *m_dispatcher.respondedSince(3));
+        report("b", 300, {}, {}, 2);
+        CPPUNIT_ASSERT(at(8) == *m_dispatcher.respondedSince(2));
+        CPPUNIT_ASSERT(!m_dispatcher.respondedSince(3));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherTest);
--- a/tests/jobs/gang_test.cpp
+++ b/tests/jobs/gang_test.cpp
@@ -64,6 +64,7 @@
             entry.service = "service";
             entry.capacity = {Millicores(cores), Mebibytes(10000), {}};
             m_dispatcher.putWorker(entry, at(0));
+            m_dispatcher.noteRecorded(entry.id);
             report(entry.id.value(), 10, {});
         }
     }
--- a/tests/jobs/runtimemodel_test.cpp
+++ b/tests/jobs/runtimemodel_test.cpp
@@ -101,6 +101,7 @@
         entry.service = "service";
         entry.capacity = {Millicores(1000), Mebibytes(1000), {}};
         dispatcher.putWorker(entry, at(0));
+        dispatcher.noteRecorded(entry.id);
         int64_t ended = 0;
         const auto report = [&](int64_t ms, const std::vector<RunningTask> &running,
                                 const std::string &done, int64_t attempt) {
--- a/tests/jobs/simulation.cpp
+++ b/tests/jobs/simulation.cpp
@@ -175,6 +175,7 @@
         entry.address = id;
         entry.service = "service";
         entry.capacity = worker.capacity;
+        m_owner->restoreWorker(entry.id, entry.address, m_now);
         m_owner->putWorker(entry, m_now);
         poll(m_owner, m_epoch, worker.id);
     }
@@ -275,7 +276,7 @@
     if (owner != m_owner)
         return;
     const TimePoint sentAt = m_now;
-    const WatchOrder order = owner->watchOrder(id, m_now);
+    const WatchOrder order = owner->watchOrder(id);
     schedule(milliseconds(randomNumber(1, 4)), [this, owner, epoch, id, order, sentAt] {
         SimulatedWorker &worker = m_workers.at(id.value());
         const auto again = [this, owner, epoch, id] { poll(owner, epoch, id); };
--- a/tests/usersplatform/cell_test.cpp
+++ b/tests/usersplatform/cell_test.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(endsBeyondOneListAreKept);
     CPPUNIT_TEST(oddWorkerEntriesDelayNoTakeover);
     CPPUNIT_TEST(entryOfAnUnknownServiceDelaysNoTakeover);
+    CPPUNIT_TEST(ownerCutOffFromItsRunsStartsNoneTwice);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<Deployment> m_deployment;
@@ -223,10 +224,13 @@
     }
 
 public:
-    void setUp() override
+    void open(int workers, int64_t workerCores)
     {
-        m_deployment = std::make_unique<Deployment>(
-                DeploymentOptions{.seed = 20261204, .binFolder = CWL_BIN_FOLDER});
+        m_deployment.reset();
+        m_deployment = std::make_unique<Deployment>(DeploymentOptions{.workers = workers,
+                                                                      .workerCores = workerCores,
+                                                                      .seed = 20261204,
+                                                                      .binFolder = CWL_BIN_FOLDER});
         CPPUNIT_ASSERT(m_deployment->open().ok());
         for (size_t index = 0; index < members; ++index)
             waitFor("readiness",
@@ -234,6 +238,8 @@
         waitFor("an owner", [this] { return ownerIndex() < members; });
     }
 
+    void setUp() override { open(3, 4000); }
+
     void tearDown() override { m_deployment.reset(); }
 
     void jobsRunThroughEveryMember()
@@ -561,6 +567,45 @@
         checkTakeoverWith({{"other", workerEntry("other", "127.0.0.1:1", "4000")}});
     }
 
+    // Guards against two owners that run one task: the first one, cut off from the store and from
+    // the workers that have its tasks, took their leases for expired, though its successor had
+    // renewed them, and started the tasks again on workers that the successor could not reach.
+    void ownerCutOffFromItsRunsStartsNoneTwice()
+    {
+        constexpr size_t tasks = 4;
+        open(2 * tasks, 1000); // one task each
+        onStandins([&] {
+            for (size_t index = 0; index < 2 * tasks; ++index)
+                m_deployment->worker(index).runMs = 9000;
+        });
+        const std::string id = submitBody(labelledJobBody(tasks, "a"));
+        waitFor("the starts of all tasks", [&] {
+            return onStandins([&] { return m_deployment->ledger().running.size() == tasks; });
+        });
+        std::this_thread::sleep_for(milliseconds(500)); // the owner learns of the starts
+        const size_t owner = ownerIndex();
+        onStandins([&] {
+            for (size_t index = 0; index < 2 * tasks; ++index) {
+                Worker &worker = m_deployment->worker(index);
+                if (worker.running() > 0)
+                    worker.firstEpochReached = worker.epoch() + 1;
+                else
+                    worker.lastEpochReached = worker.epoch();
+            }
+            member(owner).storeLink->command(*parseJson(R"({"cut":"both"})"));
+        });
+        std::this_thread::sleep_for(seconds(10));
+        onStandins([&] {
+            for (size_t index = 0; index < 2 * tasks; ++index) {
+                m_deployment->worker(index).firstEpochReached = 0;
+                m_deployment->worker(index).lastEpochReached = INT64_MAX;
+            }
+            member(owner).storeLink->command(*parseJson(R"({"cut":"none"})"));
+        });
+        waitForState(id, "completed");
+        assertNothingBroken();
+    }
+
     // Guards against requests that are held until their clients give up while no member reaches
     // the store, although nothing more can be done for them.
     void silentStoreIsAnsweredForSoon()
--- a/tests/usersplatform/deployment.cpp
+++ b/tests/usersplatform/deployment.cpp
@@ -90,6 +90,7 @@
         m_workers.push_back(
                 std::make_unique<Worker>(m_context, absl::StrCat("i-", index), m_ledger));
         Worker &worker = *m_workers.back();
+        worker.cores = m_options.workerCores;
         const absl::Status status = worker.open();
         if (!status.ok())
             return status;
--- a/tests/usersplatform/deployment.h
+++ b/tests/usersplatform/deployment.h
@@ -26,6 +26,7 @@
 {
     int members = 3;
     int workers = 3;
+    int64_t workerCores = 4000; // thousandths, of each
     uint64_t seed = 1;
     std::string binFolder; // holds cwl-cell
 };
--- a/tests/usersplatform/workers.cpp
+++ b/tests/usersplatform/workers.cpp
@@ -135,6 +135,8 @@
     if (request.headers.value("X-Expected-Instance") != m_id)
         return answer(respond, 421, {});
     const int64_t epoch = (*body)["fencingToken"].asInt64();
+    if (epoch < firstEpochReached || epoch > lastEpochReached)
+        return;
     if (epoch < m_epoch) {
         Json::Value refusal;
         refusal["reason"] = "fence";
--- a/tests/usersplatform/workers.h
+++ b/tests/usersplatform/workers.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <json/value.h>
 
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
@@ -46,6 +47,7 @@
     const std::string &id() const { return m_id; }
     size_t running() const { return m_running.size(); }
     size_t unacknowledged() const { return m_ended.size(); } // ends
+    int64_t epoch() const { return m_epoch; }                // highest one seen
 
     // The process ends: connections are reset, and runs, ends and the epoch are gone.
     void crash();
@@ -56,7 +58,10 @@
     int64_t runMs = 150;  // of each task
     int64_t cores = 4000; // thousandths; each task of the tests asks for 1000
     std::vector<std::string> labels = {"a", "r1"};
-    bool isSilent = false;        // answers nothing; leases run on
+    bool isSilent = false; // answers nothing; leases run on
+    // Only owners of these epochs reach the worker; the others get no answer.
+    int64_t firstEpochReached = 0;
+    int64_t lastEpochReached = INT64_MAX;
     std::string answersWith = {}; // this body with status 200, whatever was asked; empty: off
 
 private:
