Stop waiting 16.6 s for workers that are gone after a takeover

The next owner waits for each used worker to report or for its lease to end, and counted on an owner that renews leases for 12 s more; one worker that had drained and left held back every job.

A new owner now knows from the rule on proofs of ownership that leases of earlier owners end one lease after half of the used workers have reported to it. A draining worker on which nothing runs leaves the used workers at once, and a listed worker that was never used delays nothing. recovery_complete and predecessors_fenced show what was waited for.

--- a/src/cell/owner.cpp
+++ b/src/cell/owner.cpp
@@ -433,6 +433,10 @@
 void Owner::removeWorkers()
 {
     m_nextWorkerRemoval = BootClock::now() + workerRemovalInterval;
+    for (const WorkerId &id : m_dispatcher.takeEmptiedWorkers()) {
+        m_usedWorkers.erase(id.value());
+        log::info("worker_emptied", {{"worker", id.value()}});
+    }
     for (const WorkerId &id : m_dispatcher.removableWorkers()) {
         const auto entry = m_watches.find(id.value());
         if (entry != m_watches.end()) {
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -119,6 +119,7 @@
     void onOwnershipLost(const char *reason);
     void load();
     Duration longestLease() const;
+    void checkPredecessorsFenced();
     void boundPredecessors(TimePoint actionsEnd, TimePoint leasesStart);
     void probePredecessor(const OwnerRow &previous);
     void sendPredecessorProbe(Epoch epoch);
@@ -190,6 +191,7 @@
     uint64_t m_term = 0; // rises with each change of the ownership; old callbacks compare it
     TimePoint m_termStart = {};
     TimePoint m_predecessorActionsEnd = {}; // no earlier owner sends orders or polls after
+    bool m_arePredecessorsFenced = false;
     TimePoint m_lastStore = {};
     TimePoint m_storeNotBefore = {};
     TimePoint m_decideNotBefore = {}; // with a long backlog, decisions are made less often
--- a/src/cell/ownerload.cpp
+++ b/src/cell/ownerload.cpp
@@ -47,6 +47,7 @@
     m_nextTick = {};
     m_lag = {};
     // Without a response of any worker or member, earlier owners act until their terms end.
+    m_arePredecessorsFenced = false;
     m_predecessorActionsEnd = now + maxStoreOutage;
     m_dispatcher.begin(epoch, m_predecessorActionsEnd + longestLease());
     m_dispatcher.confirmOwnership(m_ownership.lastWrite());
@@ -75,6 +76,21 @@
     m_dispatcher.setPredecessorEnds(leasesStart + longestLease());
 }
 
+// Once half of the used workers have reported, and so refuse earlier owners, no earlier owner gets
+// a proof of its ownership any more: it needs more than half of them.
+void Owner::checkPredecessorsFenced()
+{
+    if (m_arePredecessorsFenced || 2 * m_dispatcher.fencedWorkers() < m_usedWorkers.storedAtMost())
+        return;
+    m_arePredecessorsFenced = true;
+    const TimePoint now = BootClock::now();
+    boundPredecessors(now + proofLifetime, now);
+    log::info("predecessors_fenced",
+              {{"epoch", m_ownership.epoch().value()},
+               {"workers", m_dispatcher.fencedWorkers()},
+               {"time", now - m_termStart}});
+}
+
 // Queries the owner periodically, so that the end of its process is noticed before its renewals
 // time out.
 void Owner::probeOwner()
@@ -268,6 +284,7 @@
         m_dispatcher.restoreWorker(WorkerId(id), address, now);
         watch(WorkerId(id));
     }
+    checkPredecessorsFenced();
     log::info("jobs_loaded",
               {{"rows", rows.size()},
                {"workers", m_usedWorkers.addresses().size()},
@@ -353,7 +370,8 @@
         }
         listed[row.key] = true;
         m_dispatcher.putWorker(*entry, now);
-        m_usedWorkers.set(row.key, entry->address);
+        if (!entry->isDraining) // a draining worker gets no starts
+            m_usedWorkers.set(row.key, entry->address);
         watch(entry->id);
     }
     if (isSnapshot) {
--- a/src/cell/ownerwatch.cpp
+++ b/src/cell/ownerwatch.cpp
@@ -80,6 +80,7 @@
     if (result.isIdentification)
         m_identifications.add();
     m_dispatcher.onReport(entry->id, result.report, result.sentAt, now);
+    checkPredecessorsFenced();
     scheduleDecision();
     // The lease and the acknowledgements follow an identification at once. Where every poll needs a
     // new connection the pause still applies, so that such a worker is not polled without rest.
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -57,6 +57,7 @@
     m_epoch = epoch;
     m_predecessorLeaseEnd = predecessorLeaseEnd;
     m_isRecoveryComplete = false;
+    m_fencedWorkers = 0;
     m_ownershipConfirmedAt = {};
     m_provenAt = {};
     m_awaitsWriteAfter = {};
@@ -185,11 +186,29 @@
     return order;
 }
 
+// A worker that drains gets no more starts. Once it has reported that nothing runs there and that
+// all its ends are acknowledged, a later owner need not look for runs.
+std::vector<WorkerId> Dispatcher::takeEmptiedWorkers()
+{
+    std::vector<WorkerId> emptied;
+    for (auto &[id, worker] : m_workers) {
+        const bool isEmptied = worker->entry.isDraining && worker->isRecovered
+                && !worker->hasMoreEnds && worker->runs.empty()
+                && worker->completionsProcessed == worker->completionsAcknowledged;
+        if (worker->isRecorded && isEmptied) {
+            worker->isRecorded = false;
+            emptied.emplace_back(id);
+        }
+    }
+    return emptied;
+}
+
 std::vector<WorkerId> Dispatcher::removableWorkers() const
 {
     std::vector<WorkerId> removable;
     for (const auto &[id, worker] : m_workers) {
-        if (!worker->isListed && worker->runs.empty() && hasLapsed(*worker))
+        if (!worker->isListed && worker->runs.empty()
+            && (!worker->isRecorded || hasLapsed(*worker)))
             removable.emplace_back(id);
     }
     return removable;
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -168,6 +168,8 @@
     // used workers that have not reported may run tasks that earlier owners started.
     void begin(Epoch epoch, TimePoint predecessorLeaseEnd);
     void setPredecessorEnds(TimePoint latest);
+    // Used workers that have reported, and so have been fenced.
+    size_t fencedWorkers() const { return m_fencedWorkers; }
     // The latest time such that `count` used workers have responded to polls of this owner that
     // were sent then or later; none if fewer have. Processes that a newer owner may have fenced
     // before they restarted do not count.
@@ -184,6 +186,8 @@
     std::vector<WorkerId> knownWorkers() const;
     const Worker *findWorker(const WorkerId &id) const;
     WatchOrder watchOrder(const WorkerId &id);
+    // Draining workers on which nothing runs any more; they count as not recorded from then on.
+    std::vector<WorkerId> takeEmptiedWorkers();
     std::vector<WorkerId> removableWorkers() const; // unlisted, nothing can run there
     void forgetWorker(const WorkerId &id);
 
@@ -363,6 +367,7 @@
     const DispatcherSettings m_settings;
     Epoch m_epoch;
     TimePoint m_predecessorLeaseEnd = {};
+    size_t m_fencedWorkers = 0;
     bool m_isRecoveryComplete = false;
     std::unordered_map<std::string, Queue> m_queues;
     std::unordered_map<std::string, std::unique_ptr<Worker>> m_workers;
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -71,7 +71,7 @@
     if (m_isRecoveryComplete)
         return true;
     m_isRecoveryComplete = std::all_of(m_workers.begin(), m_workers.end(), [&](const auto &entry) {
-        return entry.second->isRecovered || hasLapsed(*entry.second);
+        return !entry.second->isRecorded || entry.second->isRecovered || hasLapsed(*entry.second);
     });
     if (m_isRecoveryComplete)
         log::info("recovery_complete",
--- a/src/jobs/runs.cpp
+++ b/src/jobs/runs.cpp
@@ -412,6 +412,7 @@
     worker.incarnation.confirmedAt = sentAt;
     if (!worker.hasReported) {
         worker.hasReported = true;
+        m_fencedWorkers += worker.isRecorded ? 1 : 0;
         log::debug("worker_read", {{"worker", id.value()}, {"running", report.running.size()}});
     }
     worker.lastPollFailed = false;
--- a/tests/jobs/dispatcher_test.cpp
+++ b/tests/jobs/dispatcher_test.cpp
@@ -62,6 +62,9 @@
     CPPUNIT_TEST(firstSeenProcessNeedsALaterStoreWrite);
     CPPUNIT_TEST(workerGetsNoStartBeforeItIsRecorded);
     CPPUNIT_TEST(responsesOfUnprovenProcessesDoNotCount);
+    CPPUNIT_TEST(newWorkerDelaysNoRestoredJob);
+    CPPUNIT_TEST(emptiedWorkerIsLookedAtNoMore);
+    CPPUNIT_TEST(drainingWorkerWithEndsIsStillLookedAt);
     CPPUNIT_TEST_SUITE_END();
 
     Dispatcher m_dispatcher{DispatcherSettings{}};
@@ -658,6 +661,45 @@
         CPPUNIT_ASSERT(at(8) == *m_dispatcher.respondedSince(2));
         CPPUNIT_ASSERT(!m_dispatcher.respondedSince(3));
     }
+
+    // Guards against restored jobs that wait for a worker that has never been used.
+    void newWorkerDelaysNoRestoredJob()
+    {
+        putWorker("a", 1000);
+        putUnrecordedWorker("silent");
+        m_dispatcher.restoreJob(makeJob("j", 1, 1000), std::nullopt, false, at(0),
+                                UnixMilliseconds(0));
+        report("a", 10);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), decide(20).starts.size());
+    }
+
+    // Guards against the fault of review/3: a worker that had drained and left, as planned, held
+    // back all restored jobs of the next owner, since it stayed among the used workers.
+    void emptiedWorkerIsLookedAtNoMore()
+    {
+        putWorker("a", 1000);
+        report("a", 10);
+        CPPUNIT_ASSERT(m_dispatcher.takeEmptiedWorkers().empty());
+        putWorker("a", 1000, true);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), m_dispatcher.takeEmptiedWorkers().size());
+        CPPUNIT_ASSERT(m_dispatcher.takeEmptiedWorkers().empty());
+        CPPUNIT_ASSERT(m_dispatcher.removableWorkers().empty()); // still listed
+        m_dispatcher.unlistWorker(WorkerId("a"), at(20));
+        CPPUNIT_ASSERT_EQUAL(size_t(1), m_dispatcher.removableWorkers().size());
+    }
+
+    // Guards against a draining worker that is dropped too early: it has a run, or an end whose
+    // effect is not stored yet.
+    void drainingWorkerWithEndsIsStillLookedAt()
+    {
+        startOnOneOfTwo();
+        putWorker("a", 1000, true);
+        CPPUNIT_ASSERT(m_dispatcher.takeEmptiedWorkers().empty());
+        report("a", 500, {}, {{1, "j.0.0.0", m_attempt, EndKind::Done, ""}});
+        CPPUNIT_ASSERT(m_dispatcher.takeEmptiedWorkers().empty());
+        m_dispatcher.committed(m_dispatcher.collect());
+        CPPUNIT_ASSERT_EQUAL(size_t(1), m_dispatcher.takeEmptiedWorkers().size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherTest);
--- a/tests/usersplatform/cell_test.cpp
+++ b/tests/usersplatform/cell_test.cpp
@@ -45,6 +45,8 @@
     CPPUNIT_TEST(oddWorkerEntriesDelayNoTakeover);
     CPPUNIT_TEST(entryOfAnUnknownServiceDelaysNoTakeover);
     CPPUNIT_TEST(ownerCutOffFromItsRunsStartsNoneTwice);
+    CPPUNIT_TEST(lostWorkerDelaysNoTakeover);
+    CPPUNIT_TEST(emptiedWorkerDelaysNoTakeover);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<Deployment> m_deployment;
@@ -606,6 +608,35 @@
         assertNothingBroken();
     }
 
+    // Guards against the fault of review/3: one worker that was gone held back all jobs that were
+    // taken over for 16.6 s, the term of an owner without the store and a lease.
+    void lostWorkerDelaysNoTakeover()
+    {
+        waitForState(submit(1), "completed");
+        onStandins([this] {
+            m_deployment->worker(0).isSilent = true;
+            m_deployment->store().remove("servers", m_deployment->worker(0).id());
+        });
+        checkTakeoverWith({});
+    }
+
+    // The same for a worker that has drained and left, as planned. The owner that saw it empty does
+    // not count it as used any more, so the next one has nothing to wait for.
+    void emptiedWorkerDelaysNoTakeover()
+    {
+        waitForState(submit(1), "completed");
+        onStandins([this] {
+            Worker &worker = m_deployment->worker(0);
+            worker.isDraining = true;
+            m_deployment->store().put("servers", worker.id(),
+                                      worker.entry(m_deployment->workerLink(0).port()));
+        });
+        std::this_thread::sleep_for(seconds(1));
+        onStandins(
+                [this] { m_deployment->worker(0).isSilent = true; }); // it stays listed for a while
+        checkTakeoverWith({});
+    }
+
     // Guards against requests that are held until their clients give up while no member reaches
     // the store, although nothing more can be done for them.
     void silentStoreIsAnsweredForSoon()
--- a/tests/usersplatform/workers.cpp
+++ b/tests/usersplatform/workers.cpp
@@ -98,7 +98,7 @@
     value["service"] = "draw";
     value["addr"] = absl::StrCat("127.0.0.1:", port);
     value["zone"] = "zone-a";
-    value["state"] = "ready";
+    value["state"] = isDraining ? "draining" : "ready";
     value["capacity"]["cpu"] = Json::Int64(cores);
     value["capacity"]["memMb"] = Json::Int64(2 * cores);
     value["capacity"]["gpu"] = 0;
--- a/tests/usersplatform/workers.h
+++ b/tests/usersplatform/workers.h
@@ -58,7 +58,8 @@
     int64_t runMs = 150;  // of each task
     int64_t cores = 4000; // thousandths; each task of the tests asks for 1000
     std::vector<std::string> labels = {"a", "r1"};
-    bool isSilent = false; // answers nothing; leases run on
+    bool isDraining = false; // in its entry
+    bool isSilent = false;   // answers nothing; leases run on
     // Only owners of these epochs reach the worker; the others get no answer.
     int64_t firstEpochReached = 0;
     int64_t lastEpochReached = INT64_MAX;
