Reflow a comment and say what a kept report holds

The formatter had split one rule of the dispatcher's list over three lines, and UnprovenReport described what it lacks in place of what it holds.

--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -17,9 +17,7 @@
 //  - a run whose lease has expired has ended only once a write to the store, sent later, has taken
 //    effect: before, a newer owner may have read the run and renewed its lease;
 //  - no lease is granted beyond one lease after the last proof of ownership;
-//  - a worker gets starts only once the store lists it as used, so that a later owner looks for
-//  runs
-//    there;
+//  - a worker gets starts only once the store lists it as used: a later owner looks for runs there;
 //  - a job taken over from an earlier owner starts nothing until every worker that was used has
 //    listed all its ends or its lease has expired;
 //  - a job learned of after the takeover starts only once a write sent later has taken effect: a
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -119,8 +119,8 @@
 
 // Section: workers
 
-// Runs that a report of a process does not list, where the process may have restarted since a newer
-// owner fenced it: kept until a write shows that there was no newer owner.
+// The runs that a report lists. A report of a process that may have restarted since a newer owner
+// fenced it is kept until a write shows that there was no newer owner.
 struct UnprovenReport
 {
     std::unordered_map<std::string, int64_t> running = {}; // attempts by task
