Tell customers apart by key, and keep their caps and shares

A job keeps its customer. The dispatcher counts each run from its order until it has ended, and after a takeover also what workers that have not reported may run. Jobs beyond a customer's weight a second yield to all others. The order of pending work and the outlook of a deadline move to callercost.h, unchanged without customers (property test).

--- a/src/cell/configfollower.cpp
+++ b/src/cell/configfollower.cpp
@@ -33,6 +33,11 @@
     return m_queues ? m_queues->find(host, path) : nullptr;
 }
 
+const jobs::Customer *ConfigFollower::findCustomer(const std::string &key) const
+{
+    return m_customers ? m_customers->find(key) : nullptr;
+}
+
 void ConfigFollower::onRows(const std::vector<Row> &rows)
 {
     for (const Row &row : rows) {
@@ -52,9 +57,11 @@
                   {{"version", config->version},
                    {"previous", previous},
                    {"queues", config->queues.size()},
+                   {"customers", config->customers ? config->customers->size() : 0},
                    {"revision", row.revision.value()}});
         m_config = std::make_shared<const jobs::CellConfig>(*config);
         m_queues = std::make_unique<jobs::QueueIndex>(m_config);
+        m_customers = std::make_unique<jobs::CustomerIndex>(m_config);
         if (m_changed)
             m_changed(m_config);
     }
--- a/src/cell/configfollower.h
+++ b/src/cell/configfollower.h
@@ -6,6 +6,7 @@
 
 #include "cell/ports.h"
 #include "cell/tablefollower.h"
+#include "jobs/customerindex.h"
 #include "jobs/queueindex.h"
 
 #include <boost/asio/io_context.hpp>
@@ -39,6 +40,8 @@
 
     const ConfigPointer &config() const { return m_config; } // null: none yet
     const jobs::Queue *findQueue(const std::string &host, const std::string &path) const;
+    bool hasCustomers() const { return m_customers && m_customers->isInForce(); }
+    const jobs::Customer *findCustomer(const std::string &key) const;
     TimePoint lastResponse() const { return m_follower.lastResponse(); } // of the store
 
     // True if the store has confirmed the configuration within `maxConfigAge`.
@@ -58,6 +61,7 @@
     TableFollower m_follower;
     ConfigPointer m_config;
     std::unique_ptr<jobs::QueueIndex> m_queues;
+    std::unique_ptr<jobs::CustomerIndex> m_customers;
     std::vector<std::function<void(bool)>> m_waiting; // for the confirmation in flight
     Revision m_revision = {};                         // of the newest row seen
     TimePoint m_confirmedAt = {};                     // by a confirmation
--- a/src/cell/entry.cpp
+++ b/src/cell/entry.cpp
@@ -92,19 +92,43 @@
             ? m_relay.collectorOf(row.part, m_address)
             : std::string();
     collectRow(std::move(row), collector, deadline,
-               [this, id, startedAt, queue = spec.queue.name,
+               [this, id, startedAt, deadline, queue = spec.queue.name,
+                customer = spec.customer ? spec.customer->id : CustomerId(),
                 callback = std::move(callback)](StoreOutcome stored) {
                    const Duration time = BootClock::now() - startedAt;
                    m_acceptTime.observe(time);
                    log::info("job_submitted",
                              {{"job", id.value()},
                               {"queue", queue},
+                              {"customer", customer.value()},
                               {"stored", storeOutcomeName(stored)},
                               {"time", time}});
-                   callback(countOutcome(stored));
+                   if (stored == StoreOutcome::AlreadyStored && !customer.isEmpty())
+                       confirmRepeat(id, customer, deadline, callback);
+                   else
+                       callback(countOutcome(stored));
                });
 }
 
+// The id was stored before: by an earlier attempt of this caller, unless another customer uses it.
+void Entry::confirmRepeat(const JobId &id, const CustomerId &customer, TimePoint deadline,
+                          std::function<void(Answer)> callback)
+{
+    readJob(id, deadline,
+            [this, id, customer, callback = std::move(callback)](
+                    const absl::StatusOr<std::optional<CustomerId>> &stored) {
+                if (stored.ok() && *stored && **stored != customer) {
+                    m_refused.add();
+                    log::info("job_id_conflict",
+                              {{"job", id.value()}, {"customer", customer.value()}});
+                    callback(Answer::Conflict);
+                    return;
+                }
+                callback(countOutcome(stored.ok() ? StoreOutcome::AlreadyStored
+                                                  : StoreOutcome::Unknown));
+            });
+}
+
 // Stores a row through its collector; here if there is none, or if it has not stored the row.
 void Entry::collectRow(Row row, const std::string &collector, TimePoint deadline,
                        std::function<void(StoreOutcome)> callback)
@@ -217,12 +241,18 @@
                         });
 }
 
-void Entry::cancel(const JobId &id, TimePoint deadline, std::function<void(Answer)> callback)
+void Entry::cancel(const JobId &id, const Requester &requester, TimePoint deadline,
+                   std::function<void(Answer)> callback)
 {
     readJob(id, deadline,
-            [this, id, deadline, callback = std::move(callback)](absl::StatusOr<bool> exists) {
-                if (!exists.ok() || !*exists) {
-                    callback(exists.ok() ? Answer::NotFound : Answer::Unavailable);
+            [this, id, requester, deadline, callback = std::move(callback)](
+                    const absl::StatusOr<std::optional<CustomerId>> &customer) {
+                if (!customer.ok()) {
+                    callback(Answer::Unavailable);
+                    return;
+                }
+                if (!*customer || !mayAccess(requester, **customer)) {
+                    callback(Answer::NotFound);
                     return;
                 }
                 Row row = {jobsTable, jobPart(id), id.value() + cancelSuffix, "{}"};
@@ -236,8 +266,8 @@
             });
 }
 
-void Entry::readJob(const JobId &id, TimePoint deadline,
-                    std::function<void(absl::StatusOr<bool>)> callback)
+// A row that cannot be decoded is of a job that no owner can run; it counts as a job of nobody.
+void Entry::readJob(const JobId &id, TimePoint deadline, JobCallback callback)
 {
     m_store.read({.table = jobsTable,
                   .part = jobPart(id),
@@ -245,10 +275,17 @@
                   .until = id.value() + "\x01"},
                  std::min(deadline, BootClock::now() + storeReadTimeout),
                  [callback = std::move(callback)](const absl::StatusOr<Page> &page) {
-                     if (!page.ok())
+                     if (!page.ok()) {
                          callback(page.status());
-                     else
-                         callback(!page->rows.empty());
+                         return;
+                     }
+                     if (page->rows.empty()) {
+                         callback(std::optional<CustomerId>());
+                         return;
+                     }
+                     const auto spec = jobs::decodeJob(page->rows[0].value);
+                     callback(std::optional(spec.ok() && spec->customer ? spec->customer->id
+                                                                        : CustomerId()));
                  });
 }
 
@@ -283,13 +320,17 @@
                         });
 }
 
-void Entry::state(const JobId &id, TimePoint deadline, std::function<void(StateResult)> callback)
+void Entry::state(const JobId &id, const Requester &requester, TimePoint deadline,
+                  std::function<void(StateResult)> callback)
 {
-    const auto onResult = [this, id, deadline, callback](const std::optional<StateResult> &answer) {
-        if (answer && answer->answer == Answer::Found)
+    const auto onResult = [this, id, requester, deadline,
+                           callback](const std::optional<StateResult> &answer) {
+        if (!answer || answer->answer != Answer::Found)
+            readState(id, requester, deadline, callback); // the owner may not know the job yet
+        else if (mayAccess(requester, answer->customer))
             callback(*answer);
-        else // the owner may not know the job yet, or there is no owner
-            readState(id, deadline, callback);
+        else
+            callback({Answer::NotFound, {}, {}});
     };
     if (m_owner.holder == m_member) {
         m_local.state(id, [context = &m_context, onResult](std::optional<StateResult> answer) {
@@ -303,49 +344,56 @@
                    const absl::StatusOr<std::string> name =
                            value ? stringMember(*value, "state") : std::string();
                    const auto state = name.ok() ? jobs::jobStateFromName(*name) : std::nullopt;
-                   if (state)
-                       answer = StateResult{Answer::Found, *state};
+                   if (state) {
+                       const auto customer = stringMember(*value, "customer");
+                       answer = StateResult{Answer::Found, *state,
+                                            CustomerId(customer.value_or(std::string()))};
+                   }
                    onResult(answer);
                });
 }
 
 // Used without the owner's response: the store shows whether the job exists and has ended.
-void Entry::readState(const JobId &id, TimePoint deadline,
+void Entry::readState(const JobId &id, const Requester &requester, TimePoint deadline,
                       std::function<void(StateResult)> callback)
 {
     readJob(id, deadline,
-            [this, id, deadline, callback = std::move(callback)](absl::StatusOr<bool> exists) {
-                if (!exists.ok()) {
+            [this, id, requester, deadline, callback = std::move(callback)](
+                    const absl::StatusOr<std::optional<CustomerId>> &customer) {
+                if (!customer.ok()) {
                     log::info("state_unavailable",
-                              {{"job", id.value()}, {"error", exists.status()}});
-                    callback({Answer::Unavailable, {}});
+                              {{"job", id.value()}, {"error", customer.status()}});
+                    callback({Answer::Unavailable, {}, {}});
                     return;
                 }
-                if (!*exists) {
-                    callback({Answer::NotFound, {}});
+                if (*customer && mayAccess(requester, **customer))
+                    readProgress(id, deadline, callback);
+                else
+                    callback({Answer::NotFound, {}, {}});
+            });
+}
+
+void Entry::readProgress(const JobId &id, TimePoint deadline,
+                         std::function<void(StateResult)> callback)
+{
+    m_store.read(
+            {.table = progressTable,
+             .part = ownerPart,
+             .from = id.value(),
+             .until = id.value() + "\x01"},
+            std::min(deadline, BootClock::now() + storeReadTimeout),
+            [id, callback = std::move(callback)](const absl::StatusOr<Page> &page) {
+                if (!page.ok()) {
+                    log::info("state_unavailable", {{"job", id.value()}, {"error", page.status()}});
+                    callback({Answer::Unavailable, {}, {}});
                     return;
                 }
-                m_store.read({.table = progressTable,
-                              .part = ownerPart,
-                              .from = id.value(),
-                              .until = id.value() + "\x01"},
-                             std::min(deadline, BootClock::now() + storeReadTimeout),
-                             [id, callback](const absl::StatusOr<Page> &page) {
-                                 if (!page.ok()) {
-                                     log::info("state_unavailable",
-                                               {{"job", id.value()}, {"error", page.status()}});
-                                     callback({Answer::Unavailable, {}});
-                                     return;
-                                 }
-                                 StateResult answer = {Answer::Found, jobs::JobState::Queued};
-                                 if (!page->rows.empty()) {
-                                     const auto progress =
-                                             jobs::decodeProgress(page->rows[0].value);
-                                     answer.state = progress.ok() ? progress->state
-                                                                  : jobs::JobState::Running;
-                                 }
-                                 callback(answer);
-                             });
+                StateResult answer = {Answer::Found, jobs::JobState::Queued, {}};
+                if (!page->rows.empty()) {
+                    const auto progress = jobs::decodeProgress(page->rows[0].value);
+                    answer.state = progress.ok() ? progress->state : jobs::JobState::Running;
+                }
+                callback(answer);
             });
 }
 
--- a/src/cell/entry.h
+++ b/src/cell/entry.h
@@ -44,6 +44,7 @@
     Accepted,    // stored, or cancelled
     Refused,     // certainly not stored: retry later
     TooLarge,    // certainly not stored, and never will be
+    Conflict,    // certainly not stored: the id belongs to another customer's job
     Unknown,     // it may be stored
     NotFound,    // no such job
     Found,       // with a state or a count
@@ -54,8 +55,21 @@
 {
     Answer answer = Answer::Unavailable;
     jobs::JobState state = jobs::JobState::Queued;
+    CustomerId customer = {}; // of the job; empty: none
 };
 
+// Whose jobs a caller may see and cancel, beside those that belong to no customer.
+struct Requester
+{
+    bool isRestricted = false; // false while there are no customers: all jobs
+    CustomerId customer = {};  // identified by its key; empty: none
+};
+
+inline bool mayAccess(const Requester &requester, const CustomerId &owner)
+{
+    return !requester.isRestricted || owner.isEmpty() || owner == requester.customer;
+}
+
 struct CountResult
 {
     Answer answer = Answer::Unavailable;
@@ -98,8 +112,11 @@
     ConfigFollower &config() { return m_config; }
 
     void submit(jobs::JobSpec spec, TimePoint deadline, std::function<void(Answer)> callback);
-    void cancel(const JobId &id, TimePoint deadline, std::function<void(Answer)> callback);
-    void state(const JobId &id, TimePoint deadline, std::function<void(StateResult)> callback);
+    // Jobs that the requester may not access count as not found.
+    void cancel(const JobId &id, const Requester &requester, TimePoint deadline,
+                std::function<void(Answer)> callback);
+    void state(const JobId &id, const Requester &requester, TimePoint deadline,
+               std::function<void(StateResult)> callback);
     void countWaiting(const std::string &queue, TimePoint deadline,
                       std::function<void(CountResult)> callback);
 
@@ -113,9 +130,17 @@
                   std::function<void(StoreOutcome)> callback);
 
 private:
-    void readState(const JobId &id, TimePoint deadline, std::function<void(StateResult)> callback);
-    void readJob(const JobId &id, TimePoint deadline,
-                 std::function<void(absl::StatusOr<bool>)> callback);
+    // The customer of a stored job; empty: it has none.
+    using JobCallback = std::function<void(absl::StatusOr<std::optional<CustomerId>>)>;
+
+    void readState(const JobId &id, const Requester &requester, TimePoint deadline,
+                   std::function<void(StateResult)> callback);
+    void readProgress(const JobId &id, TimePoint deadline,
+                      std::function<void(StateResult)> callback);
+    // Calls back with nullopt if there is no such job.
+    void readJob(const JobId &id, TimePoint deadline, JobCallback callback);
+    void confirmRepeat(const JobId &id, const CustomerId &customer, TimePoint deadline,
+                       std::function<void(Answer)> callback);
     void queryOwner(const std::string &path, const std::string &query, TimePoint deadline,
                     std::function<void(std::optional<Json::Value>)> callback);
     Answer countOutcome(StoreOutcome stored);
--- a/src/cell/member.cpp
+++ b/src/cell/member.cpp
@@ -82,7 +82,7 @@
             const auto state =
                     m_owner->isActive() ? m_owner->jobState(id) : std::optional<jobs::JobState>();
             if (state)
-                found = StateResult{Answer::Found, *state};
+                found = StateResult{Answer::Found, *state, m_owner->customerOf(id)};
             answer(found);
         });
     };
@@ -159,8 +159,10 @@
                 return std::nullopt;
             Json::Value value(Json::objectValue);
             const std::optional<jobs::JobState> state = m_owner->jobState(id);
-            if (state)
+            if (state) {
                 value["state"] = jobs::jobStateName(*state);
+                value["customer"] = m_owner->customerOf(id).value();
+            }
             return value;
         });
     });
--- a/src/cell/owner.cpp
+++ b/src/cell/owner.cpp
@@ -115,6 +115,11 @@
     return m_dispatcher.jobState(id);
 }
 
+CustomerId Owner::customerOf(const JobId &id) const
+{
+    return m_dispatcher.customerOf(id);
+}
+
 Json::Value Owner::waitingByQueue() const
 {
     Json::Value value(Json::objectValue);
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -101,6 +101,7 @@
 
     bool isActive() const { return m_isActive; }
     std::optional<jobs::JobState> jobState(const JobId &id) const;
+    CustomerId customerOf(const JobId &id) const; // empty: the job is unknown or has none
     Json::Value waitingByQueue() const;
     Json::Value explain(const JobId &id) const;
     Epoch heldEpoch() const; // 0: none
--- a/src/jobs/advice.cpp
+++ b/src/jobs/advice.cpp
@@ -85,8 +85,8 @@
             continue;
         int64_t fits = 0;
         if (step.gang)
-            fits = tasksThatFit(
-                    reclaimableCapacity(*worker, candidate.job->spec.queue.priority, now), step);
+            fits = tasksThatFit(reclaimableCapacity(*worker, priorityOf(*candidate.job), now),
+                                step);
         else if (hasFreeCapacity(*worker, step))
             fits = tasksThatFit(freeCapacityAfterStops(*worker), step);
         placesNow += fits;
@@ -135,9 +135,8 @@
     }
     const AdvicePolicy &policy = *candidate.job->spec.queue.advice;
     query.step = {candidate.job->spec.id, candidate.occurrence->number, candidate.step, 0};
-    query.priority = candidate.job->spec.steps[candidate.step].longRunning
-            ? -1
-            : candidate.job->spec.queue.priority;
+    query.priority =
+            candidate.job->spec.steps[candidate.step].longRunning ? -1 : priorityOf(*candidate.job);
     query.expected = policy.decision + policy.perWorker * int64_t(query.workers.size());
     state.advice.isPending = true;
     log::info("advice_asked",
@@ -186,7 +185,7 @@
                     + policy.perWorker * int64_t(std::min<size_t>(m_workers.size(), 20))
                     + adviceLeadMargin;
             if (isNear && remaining <= std::max(lead, policy.validity / 3))
-                queryAdvice({0, DeadlineOutlook::InTime, &job, &occurrence, number}, orders, now);
+                queryAdvice({{}, DeadlineOutlook::InTime, &job, &occurrence, number}, orders, now);
         }
     }
 }
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -41,6 +41,26 @@
 
 constexpr Duration predictionInterval = seconds(1); // between updates of the predicted times
 
+Json::Value describe(const Resources &resources)
+{
+    Json::Value value;
+    value["cores"] = Json::Int64(resources.cores.value());
+    value["memory"] = Json::Int64(resources.memory.value());
+    value["accelerators"] = Json::Int64(resources.accelerators.value());
+    return value;
+}
+
+Json::Value describe(const CustomerAccount &account)
+{
+    Json::Value value;
+    value["runs"] = Json::UInt64(account.runs);
+    value["used"] = describe(account.used);
+    value["mayBeUsed"] = describe(account.mayBeUsed);
+    value["cap"] = describe(account.customer.cap);
+    value["weight"] = Json::Int64(account.customer.weight);
+    return value;
+}
+
 } // namespace
 
 Dispatcher::Dispatcher(const DispatcherSettings &settings)
@@ -64,6 +84,7 @@
     m_servicePools.clear();
     m_workers.clear();
     m_jobs.clear();
+    m_customers.clear();
     m_open.clear();
     m_dirty.clear();
     m_hasUnacknowledgedCompletions = false;
@@ -106,6 +127,11 @@
         if (queue != m_queues.end())
             job->spec.queue = queue->second;
     }
+    m_totalWeight = 0;
+    for (const CustomerEntry &entry : config.customers.value_or(std::vector<CustomerEntry>())) {
+        m_customers.update(entry.customer);
+        m_totalWeight += entry.customer.weight;
+    }
 }
 
 void Dispatcher::putWorker(const WorkerEntry &entry, TimePoint now)
@@ -299,10 +325,13 @@
     job->arrivedAt = now;
     job->knownAt = now;
     m_awaitsWriteAfter = std::max(m_awaitsWriteAfter, now);
+    openAccount(*job);
     predictTimes(*job);
     log::info("job_known",
               {{"job", job->spec.id.value()},
                {"queue", job->spec.queue.name},
+               {"customer", job->account ? job->account->customer.id.value() : std::string()},
+               {"within_rate", job->isWithinRate},
                {"steps", job->spec.steps.size()},
                {"tasks", job->spec.steps.empty() ? 0 : job->spec.steps[0].count},
                {"gang", !job->spec.steps.empty() && job->spec.steps[0].gang},
@@ -380,6 +409,13 @@
     return isFinal(job->second->state) ? JobState::Running : job->second->state;
 }
 
+CustomerId Dispatcher::customerOf(const JobId &id) const
+{
+    const auto job = m_jobs.find(id.value());
+    return job == m_jobs.end() || !job->second->spec.customer ? CustomerId()
+                                                              : job->second->spec.customer->id;
+}
+
 std::unordered_map<std::string, int64_t> Dispatcher::waitingByQueue() const
 {
     std::unordered_map<std::string, int64_t> waiting;
@@ -567,6 +603,8 @@
         entry["slowness"] = worker->slowness;
         entry["shunned"] = now < worker->excludedUntil;
     }
+    for (const auto &[id, account] : m_customers.all())
+        value["customers"][id.value()] = describe(*account);
     return value;
 }
 
@@ -579,6 +617,11 @@
     const Job &job = *found->second;
     value["job"] = id.value();
     value["queue"] = job.spec.queue.name;
+    if (job.account) {
+        value["customer"] = job.account->customer.id.value();
+        value["withinRate"] = job.isWithinRate;
+        value["account"] = describe(*job.account);
+    }
     value["state"] = jobStateName(job.reportedState);
     value["ageMs"] =
             Json::Int64(std::chrono::duration_cast<milliseconds>(now - job.arrivedAt).count());
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -7,6 +7,8 @@
 // callers.
 //
 // Invariants:
+//  - what a customer has running never exceeds its cap, also counting what may run on workers that
+//    have not reported since a takeover;
 //  - a task has one run at a time: a new run starts only once the previous one is known to have
 //    ended;
 //  - a run holds resources from its order until its completion is reported, the order is rejected
@@ -30,6 +32,8 @@
 
 #pragma once
 
+#include "jobs/callercost.h"
+#include "jobs/customeraccounts.h"
 #include "jobs/progress.h"
 #include "jobs/runtimemodel.h"
 #include "jobs/state.h"
@@ -49,7 +53,6 @@
 
 constexpr Duration orderTimeout = milliseconds(700);      // a response normally takes a few ms
 constexpr Duration stopRetryInterval = milliseconds(500); // until a stop is acknowledged
-constexpr int64_t mostUrgentPriority = 0;                 // of a queue; it may preempt all others
 constexpr double maxWorkerClockDrift = 0.02;              // fraction by which a clock may run slow
 // A run whose progress stays the same for longer is stopped. Progress is reported in whole percent,
 // so a long run gets a share of its predicted time, which also allows for a slow worker.
@@ -195,7 +198,8 @@
     void restoreJob(JobSpec spec, const std::optional<Progress> &progress, bool isCancelled,
                     TimePoint now, UnixMilliseconds wallNow);
     void cancelJob(const JobId &id, TimePoint now);
-    std::optional<JobState> jobState(const JobId &id) const;         // as reported to callers
+    std::optional<JobState> jobState(const JobId &id) const; // as reported to callers
+    CustomerId customerOf(const JobId &id) const; // empty: the job is unknown or has none
     std::unordered_map<std::string, int64_t> waitingByQueue() const; // jobs not started yet
     std::vector<JobId> takeExpired(TimePoint now); // removes and returns jobs past their retention
 
@@ -247,11 +251,9 @@
     const Statistics &statistics() const { return m_statistics; }
 
 private:
-    // Value that a job can still earn if the candidate's step starts now.
-    enum class DeadlineOutlook { InTime, Late, NoValue };
     struct Candidate
     {
-        int64_t rank = 0;
+        OrderKey key = {};
         DeadlineOutlook outlook = DeadlineOutlook::InTime;
         Job *job = nullptr;
         Occurrence *occurrence = nullptr;
@@ -259,8 +261,9 @@
     };
     enum class PlacementResult {
         All,
-        NoWorker, // none has free capacity and, if needed, a ticket
-        Reserved, // the remaining capacity is reserved for urgent queues
+        NoWorker,   // none has free capacity and, if needed, a ticket
+        Reserved,   // the remaining capacity is reserved for urgent queues
+        CapReached, // the customer may not have more running
     };
     // A worker that can take a task of the step that is being placed.
     struct Place
@@ -316,15 +319,21 @@
     Task *findTask(Job &job, const TaskAddress &address);
     const Step &stepSpec(const Job &job, const TaskAddress &address) const;
 
+    // Section: customers (customers.cpp)
+    void openAccount(Job &job);
+    void updateUnreadUse();
+
     // Section: placement (placement.cpp)
     void updateServicePools(TimePoint now);
     bool isRecoveryComplete();
     void applyUnprovenReport(Worker &worker);
     bool isReady(const Occurrence &occurrence, const Job &job, uint32_t step) const;
-    DeadlineOutlook deadlineOutlook(const Job &job, const Occurrence &occurrence, uint32_t step,
-                                    TimePoint now) const;
+    static DeadlineOutlook outlookOf(const Job &job, const Occurrence &occurrence, uint32_t step,
+                                     TimePoint now);
+    double weightedShare(const CustomerAccount *account) const;
     std::vector<Candidate> candidates(TimePoint now);
     void logServicePools(TimePoint now);
+    void logCustomers(TimePoint now);
     void placeStep(const Candidate &candidate, Orders &orders, TimePoint now);
     PlacementResult placeTasks(const Candidate &candidate, Orders &orders, TimePoint now);
     PlacementResult placeGang(const Candidate &candidate, Orders &orders, TimePoint now);
@@ -368,12 +377,15 @@
     size_t m_fencedWorkers = 0;
     bool m_isRecoveryComplete = false;
     std::unordered_map<std::string, Queue> m_queues;
+    CustomerAccounts m_customers;
+    int64_t m_totalWeight = 0; // of the customers in the configuration
     std::unordered_map<std::string, std::unique_ptr<Worker>> m_workers;
     std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
     std::vector<Job *> m_open; // not final, or with runs that have not ended
     std::unordered_map<std::string, Job *> m_dirty;
     bool m_hasUnacknowledgedCompletions = false;
     std::unordered_map<std::string, ServicePool> m_servicePools;
+    Resources m_capacity = {};                              // of all services together
     std::vector<Worker *> m_reserved;                       // for large tasks, during one pass
     std::unordered_map<std::string, double> m_allowedShare; // by queue, smoothed
     // When this owner learned of its newest job or process of a worker.
@@ -383,6 +395,7 @@
     RuntimeModel m_runtimes; // outlives a change of the owner: it describes the queues
     TimePoint m_nextPrediction = {};
     TimePoint m_poolsLoggedAt = {};
+    TimePoint m_customersLoggedAt = {};
     Statistics m_statistics;
 };
 
--- a/src/jobs/limits.cpp
+++ b/src/jobs/limits.cpp
@@ -71,4 +71,21 @@
     return absl::OkStatus();
 }
 
+absl::Status checkCap(const JobSpec &spec)
+{
+    if (!spec.customer)
+        return absl::OkStatus();
+    const Resources &cap = spec.customer->cap;
+    const auto exceeds = [](int64_t needed, int64_t limit) { return limit > 0 && needed > limit; };
+    for (const Step &step : spec.steps) {
+        const int64_t together = step.gang ? step.count : 1;
+        if (exceeds(step.each.cores.value() * together, cap.cores.value())
+            || exceeds(step.each.memory.value() * together, cap.memory.value())
+            || exceeds(step.each.accelerators.value() * together, cap.accelerators.value()))
+            return makeError(Failure::QuotaImpossible,
+                             "a task or gang of the job needs more than the customer's cap");
+    }
+    return absl::OkStatus();
+}
+
 } // namespace cwl::jobs
--- a/src/jobs/limits.h
+++ b/src/jobs/limits.h
@@ -11,6 +11,7 @@
 
 constexpr size_t maxJobTasks = 5000;                            // of all steps of one occurrence
 constexpr int64_t maxTaskAmount = 1'000'000'000;                // of a resource, in its own unit
+constexpr int64_t maxCapAmount = int64_t(1) << 50;              // of a customer, in its own unit
 constexpr Duration maxJobDuration = std::chrono::hours(24 * 7); // of an estimate or an allowance
 constexpr double maxSlowdownLimit = 1000;                       // of a queue
 constexpr Duration maxInterval = std::chrono::hours(24 * 366);  // between occurrences
@@ -24,4 +25,8 @@
 // (MalformedBody), or for more tasks than one job may have (JobTooLarge).
 absl::Status checkJob(const JobSpec &spec);
 
+// Returns QuotaImpossible for a job of which a task, or a whole gang, needs more than its customer
+// may use at all, so that it could never start.
+absl::Status checkCap(const JobSpec &spec);
+
 } // namespace cwl::jobs
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -33,6 +33,7 @@
 void Dispatcher::updateServicePools(TimePoint now)
 {
     m_servicePools.clear();
+    m_capacity = {};
     for (const auto &[id, worker] : m_workers) {
         worker->isInPool = false;
         if (!worker->hasReported || !worker->isListed)
@@ -42,6 +43,7 @@
         worker->isInPool = mayStart(*worker, now);
         ++pool.reportedWorkers;
         pool.capacity = pool.capacity + worker->entry.capacity;
+        m_capacity = m_capacity + worker->entry.capacity;
         pool.free = pool.free + free;
         pool.topPriority = INT64_MAX;
         if (!worker->isInPool)
@@ -83,15 +85,12 @@
     return m_isRecoveryComplete;
 }
 
-Dispatcher::DeadlineOutlook Dispatcher::deadlineOutlook(const Job &job,
-                                                        const Occurrence &occurrence, uint32_t step,
-                                                        TimePoint now) const
+DeadlineOutlook Dispatcher::outlookOf(const Job &job, const Occurrence &occurrence, uint32_t step,
+                                      TimePoint now)
 {
-    if (now > occurrence.noValueAfter)
-        return DeadlineOutlook::NoValue;
     const auto least =
             Duration(int64_t(double(job.criticalPaths[step].count()) * certainWorkShare));
-    return now + least > occurrence.targetTime ? DeadlineOutlook::Late : DeadlineOutlook::InTime;
+    return deadlineOutlook(now, least, occurrence.targetTime, occurrence.noValueAfter);
 }
 
 std::vector<Dispatcher::Candidate> Dispatcher::candidates(TimePoint now)
@@ -101,39 +100,26 @@
     for (Job *job : m_open) {
         if (isFinal(job->state) || (job->isRestored && !settled))
             continue;
-        // Jobs that can still meet their target time come first, since a late job is worth little
-        // and one past `noValueAfter` nothing; then the more urgent queue; then the earlier target
-        // time. Late jobs of the most urgent queue are short and stay ahead of all other queues.
-        constexpr int64_t outlookUnit = int64_t(1) << 52;
-        constexpr int64_t priorityUnit = int64_t(1) << 44;
-        constexpr int64_t lateUnit = int64_t(1) << 42;
+        PendingWork work;
+        work.priority = job->spec.queue.priority;
+        work.isWithinRate = job->isWithinRate;
+        work.weightedShare = job->isWithinRate ? 0 : weightedShare(job->account);
         for (Occurrence &occurrence : job->occurrences) {
             if (occurrence.isDone)
                 continue;
-            const int64_t targetMs = std::chrono::duration_cast<milliseconds>(
-                                             occurrence.targetTime.time_since_epoch())
-                                             .count();
+            work.targetTime = occurrence.targetTime;
             for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                 const StepState &state = occurrence.steps[step];
-                // Lasting tasks are few, and all time without them is lost.
-                const bool isFirst = job->spec.steps[step].longRunning;
                 if (state.waiting == 0 || now < state.retryAt || !isReady(occurrence, *job, step))
                     continue;
-                const DeadlineOutlook outlook = deadlineOutlook(*job, occurrence, step, now);
-                const bool isUrgent = job->spec.queue.priority == mostUrgentPriority;
-                const int64_t group = isUrgent && outlook == DeadlineOutlook::Late
-                        ? 0
-                        : int64_t(outlook) * outlookUnit;
-                const int64_t lateness = outlook == DeadlineOutlook::InTime ? 0 : lateUnit;
-                const int64_t rank = isFirst
-                        ? targetMs - priorityUnit
-                        : group + job->spec.queue.priority * priorityUnit + lateness + targetMs;
-                found.push_back({rank, outlook, job, &occurrence, step});
+                work.isLongRunning = job->spec.steps[step].longRunning;
+                work.outlook = outlookOf(*job, occurrence, step, now);
+                found.push_back({orderKey(work), work.outlook, job, &occurrence, step});
             }
         }
     }
     std::sort(found.begin(), found.end(),
-              [](const Candidate &a, const Candidate &b) { return a.rank < b.rank; });
+              [](const Candidate &a, const Candidate &b) { return a.key < b.key; });
     return found;
 }
 
@@ -155,9 +141,11 @@
     }
     updatePredictions(now);
     updateServicePools(now);
+    updateUnreadUse();
     for (const Candidate &candidate : candidates(now))
         placeStep(candidate, orders, now);
     logServicePools(now);
+    logCustomers(now);
     for (Job *job : m_open)
         queryAdviceEarly(*job, orders, now);
     sendDueStops(orders, now);
@@ -197,7 +185,8 @@
     const PlacementResult placed = candidate.job->spec.steps[candidate.step].gang
             ? placeGang(candidate, orders, now)
             : placeTasks(candidate, orders, now);
-    if (placed == PlacementResult::All)
+    // A customer at its cap must not use up the steps that a pass looks at.
+    if (placed == PlacementResult::All || placed == PlacementResult::CapReached)
         return;
     ++pool->second.unplaced;
     pool->second.unplacedGangs += candidate.job->spec.steps[candidate.step].gang ? 1 : 0;
@@ -237,8 +226,7 @@
     const Step &step = candidate.job->spec.steps[candidate.step];
     if (!hasLabel(worker, step.label))
         return false;
-    if (worker.reservedFor
-        && worker.reservedFor->spec.queue.priority < candidate.job->spec.queue.priority)
+    if (worker.reservedFor && priorityOf(*worker.reservedFor) < priorityOf(*candidate.job))
         return false;
     if (step.maxPerWorker == 0)
         return true;
@@ -407,6 +395,8 @@
     StepState &state = candidate.occurrence->steps[candidate.step];
     const Step &step = candidate.job->spec.steps[candidate.step];
     const ServicePool &pool = m_servicePools[candidate.job->spec.queue.service];
+    if (tasksWithinCap(candidate.job->account, step.each) == 0)
+        return PlacementResult::CapReached;
     std::vector<Place> places;
     for (Worker *worker : startableWorkers(candidate, now))
         places.push_back({worker, score(*worker, candidate)});
@@ -414,8 +404,9 @@
         Task &task = state.tasks[index];
         if (task.phase != Task::Phase::Waiting)
             continue;
-        if (!step.backfill && !step.longRunning
-            && candidate.job->spec.queue.priority > pool.topPriority
+        if (tasksWithinCap(candidate.job->account, step.each) == 0)
+            return PlacementResult::CapReached;
+        if (!step.backfill && !step.longRunning && priorityOf(*candidate.job) > pool.topPriority
             && double(pool.free.cores.value() - step.each.cores.value())
                     < m_settings.urgentReserveShare * double(pool.capacity.cores.value()))
             return PlacementResult::Reserved;
@@ -443,6 +434,8 @@
     const Step &step = candidate.job->spec.steps[candidate.step];
     if (state.waiting < state.tasks.size())
         return PlacementResult::All; // members of the last run have not ended
+    if (tasksWithinCap(candidate.job->account, step.each) < step.count)
+        return PlacementResult::CapReached;
     std::vector<Place> places;
     for (Worker *worker : startableWorkers(candidate, now))
         places.push_back({worker, score(*worker, candidate)});
--- a/src/jobs/preemption.cpp
+++ b/src/jobs/preemption.cpp
@@ -37,7 +37,7 @@
 {
     const Step &step = candidate.job->spec.steps[candidate.step];
     return !step.backfill && !step.longRunning
-            && (candidate.job->spec.queue.priority == mostUrgentPriority || step.gang
+            && (priorityOf(*candidate.job) == mostUrgentPriority || step.gang
                 || needsLargeShare(candidate));
 }
 
@@ -55,8 +55,7 @@
 bool Dispatcher::isPreemptible(const Run &run, int64_t priority, TimePoint now) const
 {
     if (!run.job || run.phase != RunPhase::Running || isFinal(run.job->state)
-        || run.job->spec.queue.priority <= priority
-        || now - run.confirmedAt < minRunBeforePreemption)
+        || priorityOf(*run.job) <= priority || now - run.confirmedAt < minRunBeforePreemption)
         return false;
     const Step &spec = stepSpec(*run.job, run.address);
     if (!spec.checkpoints || spec.longRunning || spec.gang || spec.backfill)
@@ -101,7 +100,7 @@
     const int64_t fitsBefore = tasksThatFit(available, step);
     int64_t fits = fitsBefore;
     std::vector<Run *> chosen;
-    for (Run *victim : preemptibleRuns(worker, candidate.job->spec.queue.priority, now)) {
+    for (Run *victim : preemptibleRuns(worker, priorityOf(*candidate.job), now)) {
         if (fits - fitsBefore >= wanted || chosen.size() >= allowedStops)
             break;
         available = available + victim->resources;
@@ -140,11 +139,13 @@
     int64_t places = 0;
     for (const Worker *worker : workers)
         places += tasksThatFit(freeCapacityAfterStops(*worker), step);
+    const int64_t wanted =
+            std::min<int64_t>(state.waiting, tasksWithinCap(candidate.job->account, step.each));
     size_t allowedStops = maxPreemptionsPerStep;
     for (Worker *worker : workers) {
-        if (places >= state.waiting || allowedStops == 0)
+        if (places >= wanted || allowedStops == 0)
             return;
-        places += preemptOnWorker(*worker, candidate, state.waiting - places, allowedStops, now);
+        places += preemptOnWorker(*worker, candidate, wanted - places, allowedStops, now);
     }
 }
 
@@ -172,8 +173,8 @@
         if (needsTicket && !ticket)
             continue;
         const int64_t fits = tasksThatFit(freeCapacityAfterStops(*worker), step);
-        const int64_t most = tasksThatFit(
-                reclaimableCapacity(*worker, candidate.job->spec.queue.priority, now), step);
+        const int64_t most =
+                tasksThatFit(reclaimableCapacity(*worker, priorityOf(*candidate.job), now), step);
         places.push_back({worker, fits, most - fits});
         coming += fits;
         reclaim += most - fits;
--- a/src/jobs/progress.cpp
+++ b/src/jobs/progress.cpp
@@ -96,6 +96,27 @@
     writer.EndObject();
 }
 
+void writeCustomer(Writer &writer, const Customer &customer)
+{
+    writer.StartObject();
+    put(writer, "id", customer.id.value());
+    put(writer, "weight", customer.weight);
+    put(writer, "capCores", customer.cap.cores.value());
+    put(writer, "capMemory", customer.cap.memory.value());
+    put(writer, "capAccelerators", customer.cap.accelerators.value());
+    writer.EndObject();
+}
+
+Customer readCustomer(const Value &value)
+{
+    Customer customer;
+    customer.id = CustomerId(text(value, "id"));
+    customer.weight = std::max<int64_t>(0, number(value, "weight"));
+    customer.cap = {Millicores(number(value, "capCores")), Mebibytes(number(value, "capMemory")),
+                    Accelerators(number(value, "capAccelerators"))};
+    return customer;
+}
+
 Queue readQueue(const Value &value)
 {
     Queue queue;
@@ -193,6 +214,10 @@
     put(writer, "id", spec.id.value());
     writer.Key("queue");
     writeQueue(writer, spec.queue);
+    if (spec.customer) {
+        writer.Key("customer");
+        writeCustomer(writer, *spec.customer);
+    }
     put(writer, "payload", spec.payload);
     writer.Key("steps");
     writer.StartArray();
@@ -220,6 +245,9 @@
     JobSpec spec;
     spec.id = JobId(text(root, "id"));
     spec.queue = readQueue(queue->value);
+    const auto customer = root.FindMember("customer");
+    if (customer != root.MemberEnd() && customer->value.IsObject())
+        spec.customer = readCustomer(customer->value);
     spec.payload = text(root, "payload");
     for (const Value &step : steps->GetArray()) {
         if (!step.IsObject())
--- a/src/jobs/runs.cpp
+++ b/src/jobs/runs.cpp
@@ -48,6 +48,8 @@
     if (run.job) {
         const Step &spec = stepSpec(*run.job, run.address);
         run.resources = spec.each;
+        run.account = run.job->account;
+        run.counted = spec.each;
         if (spec.backfill) {
             run.backfillCores = spec.each.cores;
             run.resources.cores = Millicores(0);
@@ -68,6 +70,7 @@
     } else {
         ++worker.unknownRuns;
     }
+    jobs::addRun(run.account, run.counted);
     worker.used = worker.used + run.resources;
     worker.backfillUsed += run.backfillCores;
     return worker.runs[text] = std::move(run);
@@ -81,6 +84,7 @@
         return;
     const Run run = found->second;
     worker.runs.erase(found);
+    jobs::removeRun(run.account, run.counted);
     worker.used = worker.used - run.resources;
     worker.backfillUsed -= run.backfillCores;
     Job *const job = run.job;
@@ -334,6 +338,11 @@
         addRun(worker, std::move(run));
         return;
     }
+    // Until it has stopped it counts for the customer, also if its job has reached a final state.
+    if (job && address->step < job->spec.steps.size()) {
+        run.account = job->account;
+        run.counted = stepSpec(*job, *address).each;
+    }
     run.phase = RunPhase::Stopping;
     addRun(worker, std::move(run));
 }
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -2,6 +2,8 @@
 
 #pragma once
 
+#include "jobs/callercost.h"
+#include "jobs/customeraccounts.h"
 #include "jobs/progress.h"
 #include "jobs/types.h"
 
@@ -32,7 +34,9 @@
     TaskAddress address;
     int64_t attempt = 0;
     Resources resources = {};
-    Millicores backfillCores = {}; // used but not reserved
+    Millicores backfillCores = {};      // used but not reserved
+    CustomerAccount *account = nullptr; // that the run counts in; null: of no customer
+    Resources counted = {};             // in the account
     RunPhase phase = RunPhase::Ordered;
     TimePoint orderedAt = {};
     TimePoint confirmedAt = {};
@@ -99,6 +103,8 @@
 struct Job
 {
     JobSpec spec;
+    CustomerAccount *account = nullptr;       // null: of no customer
+    bool isWithinRate = true;                 // of its customer
     std::vector<Occurrence> occurrences = {}; // those that have come due
     JobState state = JobState::Queued;
     JobState reportedState = JobState::Queued; // to callers: final states only once stored
@@ -165,4 +171,9 @@
     return worker.entry.capacity - worker.used;
 }
 
+inline int64_t priorityOf(const Job &job)
+{
+    return effectivePriority(job.spec.queue.priority, job.isWithinRate);
+}
+
 } // namespace cwl::jobs
--- a/src/jobs/types.h
+++ b/src/jobs/types.h
@@ -36,15 +36,32 @@
     int64_t maxAttempts = 1;        // failed runs of one task after which the job fails
     double maxSlowdown = 1;         // target duration: this many times the critical path ...
     Duration latencyAllowance = {}; // ... plus this
+    bool isAnonymous = false;       // its callers need no key; its jobs belong to no customer
     std::optional<AdvicePolicy> advice = {};
 };
 
+// Section: customers
+
+struct Customer
+{
+    CustomerId id;
+    int64_t weight = 1; // jobs a second that are owed to it when capacity is short
+    Resources cap = {}; // of its runs on all workers together; 0: no limit
+};
+
+struct CustomerEntry
+{
+    Customer customer;
+    std::vector<KeyDigest> keys = {}; // any of them identifies its callers
+};
+
 // The configuration in force.
 struct CellConfig
 {
     int64_t version = 0;
     std::vector<Queue> queues = {};
     std::vector<std::string> services = {};
+    std::optional<std::vector<CustomerEntry>> customers = {}; // none: callers need no key
     size_t maxBodyBytes = 262144;
 };
 
@@ -73,8 +90,9 @@
 struct JobSpec
 {
     JobId id;
-    Queue queue;              // settings at acceptance
-    std::string payload = {}; // handed to each task
+    Queue queue;                           // settings at acceptance
+    std::optional<Customer> customer = {}; // settings at acceptance; none: of no customer
+    std::string payload = {};              // handed to each task
     std::vector<Step> steps = {};
     uint32_t times = 0; // number of occurrences; 0: one, due immediately
     UnixMilliseconds firstAt = {};
--- a/src/settings/cellsettings.cpp
+++ b/src/settings/cellsettings.cpp
@@ -2,12 +2,11 @@
 
 #include "base/error.h"
 #include "base/json.h"
+#include "base/sha256.h"
 #include "settings/objectreader.h"
 
-#include <absl/strings/escaping.h>
 #include <absl/strings/str_cat.h>
 #include <openssl/crypto.h>
-#include <openssl/evp.h>
 
 #include <algorithm>
 #include <numeric>
@@ -155,14 +154,6 @@
 
 // Section: authorization
 
-std::string sha256Hex(const std::string &text)
-{
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-    unsigned int length = 0;
-    EVP_Digest(text.data(), text.size(), digest.data(), &length, EVP_sha256(), nullptr);
-    return absl::BytesToHexString(std::string(digest.begin(), digest.begin() + length));
-}
-
 bool equalsInConstantTime(const std::string &expected, const std::string &actual)
 {
     return !expected.empty() && expected.size() == actual.size()
--- a/tests/jobs/property_test.cpp
+++ b/tests/jobs/property_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(workersRestartAndBecomeUnreachable);
     CPPUNIT_TEST(ownersChange);
     CPPUNIT_TEST(allFaultsCombined);
+    CPPUNIT_TEST(capsHoldThroughAllFaults);
     CPPUNIT_TEST_SUITE_END();
 
     static void check(simulation::Options options)
@@ -63,6 +64,19 @@
                .cuts = 0.03,
                .ownerChanges = 0.2});
     }
+
+    // Guards against a customer that has more running than its cap: by starts that are executed
+    // late, or by runs that a new owner has not read yet.
+    void capsHoldThroughAllFaults()
+    {
+        check({.lostResponses = 0.1,
+               .delayedOrders = 0.05,
+               .failures = 0.1,
+               .restarts = 0.02,
+               .cuts = 0.05,
+               .ownerChanges = 0.4,
+               .customers = 2});
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherPropertyTest);
--- a/tests/jobs/simulation.cpp
+++ b/tests/jobs/simulation.cpp
@@ -1,5 +1,7 @@
 #include "jobs/simulation.h"
 
+#include "jobs/limits.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -12,6 +14,7 @@
 constexpr Duration step = milliseconds(5);
 constexpr Duration stopTime = milliseconds(300);
 constexpr Duration pollInterval = milliseconds(60);
+constexpr Resources customerCap = {Millicores(9000), Mebibytes(9000), Accelerators(0)};
 
 TimePoint at(Duration time)
 {
@@ -91,6 +94,7 @@
     OrderAnswer stop(SimulatedWorker &worker, Epoch epoch, const StopOrder &order);
     void store();
     void checkStart(const SimulatedWorker &worker, const StartOrder &order);
+    void checkCap(const StartOrder &order);
     void addViolation(const std::string &text) { m_result.violations.push_back(text); }
     bool isUnreachable(const SimulatedWorker &worker) const
     {
@@ -144,6 +148,13 @@
             stepSpec.after = {uint32_t(stepNumber - 1)};
         spec.steps.push_back(stepSpec);
     }
+    if (m_options.customers == 0)
+        return spec;
+    spec.customer = Customer{CustomerId(absl::StrCat("customer", index % m_options.customers)), 1,
+                             customerCap};
+    // A gang that its cap never allows is rejected before it gets here.
+    if (!jobs::checkCap(spec).ok())
+        spec.steps[0].gang = false;
     return spec;
 }
 
@@ -228,6 +239,31 @@
         addViolation(absl::StrCat("started after its last attempt: ", order.task));
 }
 
+// What the customer has running on all workers, with the start, is within its cap.
+void Simulation::checkCap(const StartOrder &order)
+{
+    const auto jobOf = [this](const std::string &task) -> const JobSpec & {
+        return m_jobs.at(TaskAddress::parse(task)->job.value());
+    };
+    const JobSpec &started = jobOf(order.task);
+    if (!started.customer)
+        return;
+    Resources used = started.steps[TaskAddress::parse(order.task)->step].each;
+    std::string others;
+    for (const auto &[id, worker] : m_workers) {
+        for (const auto &[task, run] : worker.running) {
+            if (jobOf(task).customer->id != started.customer->id)
+                continue;
+            used = used + run.resources;
+            absl::StrAppend(&others, " ", task, "#", run.attempt, "@", id);
+        }
+    }
+    if (used.cores > customerCap.cores || used.memory > customerCap.memory)
+        addViolation(absl::StrCat("over the cap of ", started.customer->id.value(), ": ",
+                                  order.task, "#", order.attempt, "@", order.worker.value(),
+                                  " beside", others));
+}
+
 OrderAnswer Simulation::start(SimulatedWorker &worker, Epoch epoch, const StartOrder &order)
 {
     if (epoch < worker.token)
@@ -243,6 +279,7 @@
     if (worker.endedAttempts[order.task] >= order.attempt)
         return OrderAnswer::Superseded;
     checkStart(worker, order);
+    checkCap(order);
     const TaskAddress address = *TaskAddress::parse(order.task);
     const Step &spec = m_jobs.at(address.job.value()).steps[address.step];
     WorkerRun run;
--- a/tests/jobs/simulation.h
+++ b/tests/jobs/simulation.h
@@ -27,6 +27,7 @@
     double restarts = 0;         // per second and worker
     double cuts = 0;             // times a worker becomes unreachable, per second and worker
     double ownerChanges = 0;     // per second
+    int customers = 0;           // with caps, that the jobs are spread over; 0: none
     Duration faultsEnd = seconds(20);
     Duration end = seconds(60);
 };
--- a/tests/platformadapter/decode_test.cpp
+++ b/tests/platformadapter/decode_test.cpp
@@ -27,6 +27,12 @@
         R"("priority":1,"maxAttempts":3,"slowdownFactor":1.5,"targetLatencyMs":250,)"
         R"("hint":{"decisionMs":13,"periodMs":0.19,"validityMs":2000}}],)"
         R"("services":[{"name":"s"}],"limits":{"maxBodyBytes":262144}})";
+const std::string configWithCustomers =
+        R"({"version":8,"routes":[{"name":"r1","host":"a.example","pathPrefix":"/p/","service":"s"},)"
+        R"({"name":"r2","host":"a.example","pathPrefix":"/q/","service":"s","anonymous":true}],)"
+        R"("tenants":[{"name":"north","apiKeys":["k1","k2",7,""],"priority":1,"weight":37,)"
+        R"("cap":{"cpu":7106429,"memMb":16011435,"gpu":396}},)"
+        R"({"name":"","apiKeys":["k3"]},{"name":"odd","apiKeys":"k4","weight":-1,"cap":7},5]})";
 const std::string validWorker =
         R"({"service":"s","addr":"10.0.0.1:80","zone":"z","state":"draining","remainingMs":900,)"
         R"("capacity":{"cpu":16000,"memMb":32768,"gpu":8},"labels":["a","r1-3"],"born":1})";
@@ -77,6 +83,7 @@
     progress.steps[{0, 1}] = {{true, {}, ""}, {false, {1001}, "00000bb8"}};
     return {{validJob, decodeJobBody},
             {validConfig, decodeConfigRow},
+            {configWithCustomers, decodeConfigRow},
             {validWorker, decodeWorkerRow},
             {validReport, decodeReportBody},
             {jobs::encodeJob(*decodeJob(validJob)), decodeStoredRow},
@@ -87,6 +94,7 @@
 {
     CPPUNIT_TEST_SUITE(DecodeTest);
     CPPUNIT_TEST(validInputIsDecoded);
+    CPPUNIT_TEST(customersAreDecoded);
     CPPUNIT_TEST(deepNestingIsRejected);
     CPPUNIT_TEST(changedInputIsDecodedOrRejected);
     CPPUNIT_TEST(impossibleJobsAreRejected);
@@ -110,6 +118,29 @@
         CPPUNIT_ASSERT(decodeReport(validReport).ok());
     }
 
+    // Guards against an entry that cannot be read and gives access, and against a configuration
+    // without customers that asks for keys.
+    void customersAreDecoded()
+    {
+        CPPUNIT_ASSERT(!decodeConfig(validConfig)->customers);
+        const auto config = decodeConfig(configWithCustomers);
+        CPPUNIT_ASSERT(config.ok());
+        CPPUNIT_ASSERT(!config->queues[0].isAnonymous);
+        CPPUNIT_ASSERT(config->queues[1].isAnonymous);
+        CPPUNIT_ASSERT_EQUAL(size_t(2), config->customers->size());
+        const jobs::CustomerEntry &north = config->customers->at(0);
+        CPPUNIT_ASSERT_EQUAL(std::string("north"), north.customer.id.value());
+        CPPUNIT_ASSERT_EQUAL(int64_t(37), north.customer.weight);
+        CPPUNIT_ASSERT(north.customer.cap
+                       == (Resources{Millicores(7106429), Mebibytes(16011435), Accelerators(396)}));
+        CPPUNIT_ASSERT_EQUAL(size_t(2), north.keys.size());
+        CPPUNIT_ASSERT(north.keys[0].value() != "k1"); // the digest
+        const jobs::CustomerEntry &odd = config->customers->at(1);
+        CPPUNIT_ASSERT(odd.keys.empty());
+        CPPUNIT_ASSERT_EQUAL(int64_t(0), odd.customer.weight);
+        CPPUNIT_ASSERT(odd.customer.cap == Resources{});
+    }
+
     // Guards against a stack overflow in the parser, which ended the process.
     void deepNestingIsRejected()
     {
