--- a/src/base/boundedjson.cpp
+++ b/src/base/boundedjson.cpp
@@ -56,7 +56,7 @@
 
 } // namespace
 
-bool parseJsonObject(rapidjson::Document &document, std::string_view text)
+bool parseJsonObject(rapidjson::Document &document, std::string_view text, size_t *errorOffset)
 {
     bool isParsed = false;
     const auto parse = [&](rapidjson::Document &target) {
@@ -64,6 +64,8 @@
         rapidjson::Reader reader;
         DepthLimit limit(target);
         isParsed = !reader.Parse<parseFlags>(stream, limit).IsError();
+        if (!isParsed && errorOffset)
+            *errorOffset = reader.GetErrorOffset();
         return isParsed;
     };
     document.Populate(parse);
