Add cwl-check configuration

Cause: nothing showed a fault of a configuration, or what it changes, before all members had it in force.

--- a/src/checker/main.cpp
+++ b/src/checker/main.cpp
@@ -1,8 +1,9 @@
-// cwl-check: checks settings files before they reach a process or the cell.
+// cwl-check: checks settings files and configurations before they reach a process or the cell.
 
 #include "base/exitcode.h"
 #include "base/json.h"
 #include "base/version.h"
+#include "checker/configreport.h"
 #include "settings/cellsettings.h"
 #include "settings/describe.h"
 #include "settings/processsettings.h"
@@ -14,6 +15,7 @@
 #include <fstream>
 #include <iostream>
 #include <map>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -26,17 +28,21 @@
 Usage:
   cwl-check process FILE...
   cwl-check cell DIRECTORY
+  cwl-check configuration FILE [--in-force FILE] [--json]
   cwl-check (-h | --help)
   cwl-check --version
 
 `process` checks settings files of cwl-entry and cwl-scheduler. `cell` checks a deployment: DIRECTORY holds
-cell.json and one file per team, <team>.json.
+cell.json and one file per team, <team>.json. `configuration` checks the operators' configuration of cwl-cell
+and prints findings, and differences from the version in force.
 
 Options:
-  -h --help   Print this text.
-  --version   Print the version.
+  --in-force FILE  Compare with the configuration in force.
+  --json           Print one object with `findings` and `differences`.
+  -h --help        Print this text.
+  --version        Print the version.
 
-Exit codes: 0 valid, 2 wrong usage, 3 invalid settings.
+Exit codes: 0 valid, 2 wrong usage, 3 invalid settings or errors, 4 warnings only (`configuration`).
 )";
 
 int asInt(cwl::ExitCode code)
@@ -100,6 +106,51 @@
     return asInt(cwl::ExitCode::Success);
 }
 
+// Section: configurations of cwl-cell
+
+// The content of a file; none if it cannot be read.
+std::optional<std::string> readFile(const std::string &path)
+{
+    std::error_code error;
+    std::ifstream file(path, std::ios::binary);
+    if (std::filesystem::is_directory(path, error) || !file)
+        return std::nullopt;
+    std::ostringstream content;
+    content << file.rdbuf();
+    return file.bad() ? std::nullopt : std::optional(content.str());
+}
+
+cwl::checker::Finding unreadable(const std::string &path)
+{
+    return {cwl::checker::Severity::Error, "file-unreadable", path, "the file cannot be read"};
+}
+
+cwl::checker::ConfigReport reportOn(const std::string &path,
+                                    const std::optional<std::string> &inForcePath)
+{
+    const std::optional<std::string> text = readFile(path);
+    const std::optional<std::string> inForce = inForcePath ? readFile(*inForcePath) : std::nullopt;
+    cwl::checker::ConfigReport report;
+    if (text)
+        report = cwl::checker::checkConfigText(*text, inForce);
+    else
+        report.findings.push_back(unreadable(path));
+    if (inForcePath && !inForce)
+        report.findings.push_back(unreadable(*inForcePath));
+    return report;
+}
+
+int checkConfiguration(const std::string &path, const std::optional<std::string> &inForcePath,
+                       bool asJson)
+{
+    const cwl::checker::ConfigReport report = reportOn(path, inForcePath);
+    if (asJson)
+        std::cout << cwl::writeJsonIndented(cwl::checker::toJson(report)) << "\n";
+    else
+        std::cout << cwl::checker::toText(report);
+    return cwl::checker::exitCode(report);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -117,6 +168,12 @@
         std::cerr << "cwl-check: " << error.what() << "\n" << usage;
         return asInt(cwl::ExitCode::Usage);
     }
+    if (arguments["configuration"].asBool()) {
+        const docopt::value &inForce = arguments["--in-force"];
+        return checkConfiguration(arguments["FILE"].asStringList().front(),
+                                  inForce ? std::optional(inForce.asString()) : std::nullopt,
+                                  arguments["--json"].asBool());
+    }
     if (arguments["process"].asBool())
         return checkProcesses(arguments["FILE"].asStringList());
     return checkCell(arguments["DIRECTORY"].asString());
