Announce a new owner to the members, and cancel through it without the store

Cause: members learn of the owner from the store. Change: an owner that has loaded its jobs tells all members, each until it has responded; an entry takes the newest epoch that it has heard of. A cancellation whose job the store does not show is answered by what the owner knows.

--- a/src/cell/entry.cpp
+++ b/src/cell/entry.cpp
@@ -53,6 +53,8 @@
 
 void Entry::setOwner(const OwnerRow &owner)
 {
+    if (owner.epoch < m_owner.epoch)
+        return; // the store's feed is behind the owner's own announcement
     m_owner = owner;
     if (owner.address == m_ownerAddress)
         return;
@@ -244,7 +246,7 @@
 void Entry::cancel(const JobId &id, const Requester &requester, TimePoint deadline,
                    std::function<void(Answer)> callback)
 {
-    readJob(id, deadline,
+    findJob(id, deadline,
             [this, id, requester, deadline, callback = std::move(callback)](
                     const absl::StatusOr<std::optional<CustomerId>> &customer) {
                 if (!customer.ok()) {
@@ -266,6 +268,40 @@
             });
 }
 
+// The store shows each accepted job. While it does not respond to this member, the owner is asked,
+// which knows all jobs that it has read: the job exists if the owner knows it.
+void Entry::findJob(const JobId &id, TimePoint deadline, JobCallback callback)
+{
+    const auto onOwnerResponse = [callback](const std::optional<StateResult> &answer,
+                                            const std::function<void()> &otherwise) {
+        if (answer && answer->answer == Answer::Found)
+            callback(std::optional(answer->customer));
+        else
+            otherwise();
+    };
+    if (m_acceptance.outageDuration(BootClock::now()) > Duration::zero()) {
+        askOwner(id, deadline,
+                 [this, id, deadline, callback,
+                  onOwnerResponse](const std::optional<StateResult> &answer) {
+                     onOwnerResponse(answer, [&] { readJob(id, deadline, callback); });
+                 });
+        return;
+    }
+    readJob(id, deadline,
+            [this, id, deadline, callback,
+             onOwnerResponse](const absl::StatusOr<std::optional<CustomerId>> &customer) {
+                if (customer.ok()) {
+                    callback(customer);
+                    return;
+                }
+                askOwner(id, deadline,
+                         [callback, onOwnerResponse,
+                          error = customer.status()](const std::optional<StateResult> &answer) {
+                             onOwnerResponse(answer, [&] { callback(error); });
+                         });
+            });
+}
+
 // A row that cannot be decoded is of a job that no owner can run; it counts as a job of nobody.
 void Entry::readJob(const JobId &id, TimePoint deadline, JobCallback callback)
 {
@@ -332,14 +368,22 @@
         else
             callback({Answer::NotFound, {}, {}});
     };
+    askOwner(id, deadline, onResult);
+}
+
+void Entry::askOwner(const JobId &id, TimePoint deadline,
+                     std::function<void(std::optional<StateResult>)> callback)
+{
     if (m_owner.holder == m_member) {
-        m_local.state(id, [context = &m_context, onResult](std::optional<StateResult> answer) {
-            boost::asio::post(*context, [onResult, answer] { onResult(answer); });
-        });
+        m_local.state(id,
+                      [context = &m_context,
+                       callback = std::move(callback)](std::optional<StateResult> answer) {
+                          boost::asio::post(*context, [callback, answer] { callback(answer); });
+                      });
         return;
     }
     queryOwner("/cell/job", "id=" + id.value(), deadline,
-               [onResult](const std::optional<Json::Value> &value) {
+               [callback = std::move(callback)](const std::optional<Json::Value> &value) {
                    std::optional<StateResult> answer;
                    const absl::StatusOr<std::string> name =
                            value ? stringMember(*value, "state") : std::string();
@@ -349,7 +393,7 @@
                        answer = StateResult{Answer::Found, *state,
                                             CustomerId(customer.value_or(std::string()))};
                    }
-                   onResult(answer);
+                   callback(answer);
                });
 }
 
--- a/src/cell/entry.h
+++ b/src/cell/entry.h
@@ -102,7 +102,7 @@
 
     // Section: updates from the control thread; called on the traffic thread
 
-    void setOwner(const OwnerRow &owner);
+    void setOwner(const OwnerRow &owner); // as stored, or as announced by the owner itself
     void setPeers(std::vector<std::string> addresses) { m_relay.setPeers(std::move(addresses)); }
     void noteStoreResponse(TimePoint at) { m_acceptance.noteStoreResponse(at); }
     void noteStoreFailure() { m_probe.start(); }
@@ -137,6 +137,10 @@
                    std::function<void(StateResult)> callback);
     void readProgress(const JobId &id, TimePoint deadline,
                       std::function<void(StateResult)> callback);
+    // Calls back with nullopt if the owner did not respond or does not know the job.
+    void askOwner(const JobId &id, TimePoint deadline,
+                  std::function<void(std::optional<StateResult>)> callback);
+    void findJob(const JobId &id, TimePoint deadline, JobCallback callback);
     // Calls back with nullopt if there is no such job.
     void readJob(const JobId &id, TimePoint deadline, JobCallback callback);
     void confirmRepeat(const JobId &id, const CustomerId &customer, TimePoint deadline,
--- a/src/cell/member.cpp
+++ b/src/cell/member.cpp
@@ -210,6 +210,15 @@
             return value;
         });
     });
+    node.route(ownerAnnouncementPath,
+               [this](const http::Request &request, const http::Responder &respond) {
+                   const absl::StatusOr<OwnerRow> owner = decodeOwner(request.body);
+                   if (owner.ok())
+                       m_entry->setOwner(*owner);
+                   else
+                       log::warn("announcement_unreadable", {{"error", owner.status()}});
+                   respond(statusResponse(owner.ok() ? 200 : 400));
+               });
     node.route("/cell/advise",
                [this](const http::Request &request, const http::Responder &respond) {
                    advise(request, respond);
--- a/src/cell/owner.cpp
+++ b/src/cell/owner.cpp
@@ -45,6 +45,7 @@
                            }})
     , m_dispatcher(options.dispatcher)
     , m_advice(context, advice)
+    , m_announcer(context)
     , m_decideTimer(context)
     , m_storeTimer(context)
     , m_tickTimer(context)
@@ -203,6 +204,7 @@
                               m_members.othersThan(m_options.address);
                       m_otherMembers = addresses.size();
                       m_advice.setMembers(addresses);
+                      m_announcer.addMembers(addresses);
                       if (membersChanged)
                           membersChanged(addresses);
                   }
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -6,6 +6,7 @@
 
 #include "cell/advicerouter.h"
 #include "cell/memberlist.h"
+#include "cell/ownerannouncer.h"
 #include "cell/ownership.h"
 #include "cell/ports.h"
 #include "cell/tablefollower.h"
@@ -175,6 +176,7 @@
     Ownership m_ownership;
     jobs::Dispatcher m_dispatcher;
     AdviceRouter m_advice;
+    OwnerAnnouncer m_announcer;
     jobs::CellConfig m_config;
     std::unique_ptr<TableFollower> m_jobsFollower;    // while owner
     std::unique_ptr<TableFollower> m_workersFollower; // while owner
--- a/src/cell/ownerload.cpp
+++ b/src/cell/ownerload.cpp
@@ -279,6 +279,7 @@
     }
     m_loadedProgress.clear();
     m_isActive = true;
+    m_announcer.announce(m_ownership.owner(), m_members.othersThan(m_options.address));
     // Workers used by an earlier owner may still run its tasks even if they are no longer listed.
     for (const auto &[id, address] : m_usedWorkers.addresses()) {
         m_dispatcher.restoreWorker(WorkerId(id), address, now);
@@ -387,6 +388,7 @@
 {
     ++m_term;
     m_isActive = false;
+    m_announcer.stop();
     m_jobsFollower.reset();
     m_workersFollower.reset();
     for (const auto &[id, entry] : m_watches)
--- a/tests/usersplatform/cell_test.cpp
+++ b/tests/usersplatform/cell_test.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(stoppedMemberCutsNoRequest);
     CPPUNIT_TEST(refusalsAreTrue);
     CPPUNIT_TEST(memberThatTheStoreTurnsAwayStoresThroughAnother);
+    CPPUNIT_TEST(memberWithoutTheStoreFollowsANewOwner);
     CPPUNIT_TEST(silentStoreIsAnsweredForSoon);
     CPPUNIT_TEST(malformedBodiesEndNoMember);
     CPPUNIT_TEST(malformedAnswersEndNoMember);
@@ -381,6 +382,39 @@
         assertNothingBroken();
     }
 
+    // Guards against the fault of saaristo-ledge-grown scale-2: members that the store turned away
+    // went on asking an earlier owner, and showed and cancelled no job until the store was back.
+    void memberWithoutTheStoreFollowsANewOwner()
+    {
+        const size_t cutOff = members - 1;
+        if (ownerIndex() == cutOff) { // its store link is the only one that can be refused alone
+            member(cutOff).process->kill();
+            waitFor("another owner", [&] { return ownerIndex() < cutOff; });
+            startMember(cutOff);
+            waitFor("its return",
+                    [&] { return status(member(cutOff).readiness, "GET", "/v1/readyz") == 200; });
+        }
+        onStandins([this] {
+            m_deployment->store().faults.refusesSide = true;
+            for (size_t index = 0; index < m_deployment->workerCount(); ++index)
+                m_deployment->worker(index).runMs = 30000;
+        });
+        const size_t earlier = ownerIndex();
+        member(earlier).process->kill();
+        waitFor("a new owner", [&] { return ownerIndex() < cutOff && ownerIndex() != earlier; });
+        const std::string id = nextJob();
+        waitFor("acceptance", [&] {
+            return status(member(ownerIndex()).callers, "POST", "/draw/" + id, jobBody(1)) == 200;
+        });
+        std::string answer;
+        waitFor("its state", [&] {
+            return status(member(cutOff).callers, "GET", "/draw/" + id, {}, &answer) == 200;
+        });
+        waitFor("its cancellation",
+                [&] { return status(member(cutOff).callers, "DELETE", "/draw/" + id) == 200; });
+        assertNothingBroken();
+    }
+
     // Bodies that are not what any reader expects: depth, types, numbers, encoding, truncation.
     static std::vector<std::string> malformedBodies()
     {
