Count a job as started only once a task has started or may have

Cause: Dispatcher::addRun set a job to running as soon as a start was ordered. A job whose starts were all refused stayed running, so it was missing in `pending` of its queue, in the waiting jobs of customer_use, and its caller was told "running". Change: a job stays queued until a worker accepts a start, reports a run or an end, or does not respond to a start, also if the run is gone by then. Refused starts change nothing. A restored job whose earlier runs are adopted or whose ends are read counts as started too; before, a restored job was stored as queued with a failed attempt.

--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -14,6 +14,8 @@
 //  - a run holds resources from its order until its completion is reported, the order is rejected
 //    or the lease expires;
 //  - an order without a response is stopped, because the worker may still execute it later;
+//  - a job is queued until one of its tasks has started or may have: a worker has confirmed a
+//    start, reported a run or its end, or not responded to a start;
 //  - a run that a worker no longer lists has ended; while the worker has more ends than its report
 //    lists, nothing follows from what is not listed;
 //  - a run whose lease has expired has ended only once a write to the store, sent later, has taken
@@ -308,6 +310,7 @@
     bool isConfirmedAfter(TimePoint time) const { return m_ownershipConfirmedAt > time; }
     // All runs on the worker have ended with its lease, and no newer owner has renewed it.
     bool hasLapsed(const Worker &worker) const { return isConfirmedAfter(worker.leaseExpiresAt); }
+    static void markStarted(Job &job);
     void markTaskDone(Job &job, const TaskAddress &address, TimePoint now);
     void recordFailure(Job &job, const TaskAddress &address, int64_t attempt, Worker &worker,
                        TimePoint now);
--- a/src/jobs/runs.cpp
+++ b/src/jobs/runs.cpp
@@ -65,8 +65,6 @@
         task.attempt = run.attempt;
         ++step.perWorker[&worker];
         ++run.job->activeRuns;
-        if (run.job->state == JobState::Queued)
-            run.job->state = JobState::Running;
     } else {
         ++worker.unknownRuns;
     }
@@ -133,6 +131,13 @@
 
 // Section: completions
 
+// A task of the job has started, or may have. An order alone does not count: workers may refuse it.
+void Dispatcher::markStarted(Job &job)
+{
+    if (job.state == JobState::Queued)
+        job.state = JobState::Running;
+}
+
 void Dispatcher::markTaskDone(Job &job, const TaskAddress &address, TimePoint now)
 {
     StepState &step = *findStep(job, address);
@@ -157,8 +162,6 @@
         task.progress.checkpoint.clear();
         ++step.done;
     }
-    if (job.state == JobState::Queued)
-        job.state = JobState::Running;
     markDirty(job);
     if (step.isDone())
         checkCompletion(job, job.occurrences[address.occurrence], now);
@@ -213,6 +216,7 @@
                    {"how", endKindName(completion.kind)},
                    {"worker", worker.entry.id.value()},
                    {"end", completion.number}});
+    markStarted(*job);
     task->attempt = std::max(task->attempt, completion.attempt);
     if (!completion.checkpoint.empty() && task->phase != Task::Phase::Done
         && completion.checkpoint != task->progress.checkpoint) {
@@ -292,6 +296,8 @@
     const auto known = worker.runs.find(running.task);
     if (known != worker.runs.end()) {
         Run &run = known->second;
+        if (run.job)
+            markStarted(*run.job);
         if (run.attempt != running.attempt)
             return; // the order of the newer attempt is in flight
         if (run.phase == RunPhase::Ordered)
@@ -331,6 +337,8 @@
                {"attempt", running.attempt},
                {"worker", worker.entry.id.value()},
                {"job_known", job != nullptr}});
+    if (task)
+        markStarted(*job);
     if (isAdopted) {
         run.job = job;
         if (!running.checkpoint.empty())
@@ -482,6 +490,13 @@
 
 void Dispatcher::onStartAnswered(const StartOrder &order, OrderAnswer answer, TimePoint now)
 {
+    // Also where the run is gone: its worker may have been lost before the response.
+    if (answer == OrderAnswer::Accepted || answer == OrderAnswer::Unknown) {
+        const std::optional<TaskAddress> address = TaskAddress::parse(order.task);
+        Job *const job = address ? findJob(address->job) : nullptr;
+        if (job)
+            markStarted(*job);
+    }
     const auto found = m_workers.find(order.worker.value());
     if (found == m_workers.end())
         return;
--- a/tests/jobs/dispatcher_test.cpp
+++ b/tests/jobs/dispatcher_test.cpp
@@ -65,6 +65,13 @@
     CPPUNIT_TEST(newWorkerDelaysNoRestoredJob);
     CPPUNIT_TEST(emptiedWorkerIsLookedAtNoMore);
     CPPUNIT_TEST(drainingWorkerWithEndsIsStillLookedAt);
+    CPPUNIT_TEST(jobWhoseStartsWereRefusedIsPending);
+    CPPUNIT_TEST(refusedStartLeavesAStartedJobRunning);
+    CPPUNIT_TEST(unansweredStartCountsAsStarted);
+    CPPUNIT_TEST(lateUnansweredStartCountsAsStarted);
+    CPPUNIT_TEST(reportedRunCountsAsStarted);
+    CPPUNIT_TEST(adoptedRunCountsAsStarted);
+    CPPUNIT_TEST(endOfAnEarlierOwnersRunCountsAsStarted);
     CPPUNIT_TEST_SUITE_END();
 
     Dispatcher m_dispatcher{DispatcherSettings{}};
@@ -148,6 +155,26 @@
         return orders;
     }
 
+    // Jobs of the queue that count as not started.
+    int64_t pending() const
+    {
+        const auto waiting = m_dispatcher.waitingByQueue();
+        const auto count = waiting.find("queue");
+        return count == waiting.end() ? 0 : count->second;
+    }
+
+    void assertQueued() const
+    {
+        CPPUNIT_ASSERT(m_dispatcher.jobState(JobId("j")) == JobState::Queued);
+        CPPUNIT_ASSERT_EQUAL(int64_t(1), pending());
+    }
+
+    void assertRunning() const
+    {
+        CPPUNIT_ASSERT(m_dispatcher.jobState(JobId("j")) == JobState::Running);
+        CPPUNIT_ASSERT_EQUAL(int64_t(0), pending());
+    }
+
     Orders decideUnconfirmed(int64_t ms)
     {
         return m_dispatcher.decide(at(ms), UnixMilliseconds(0));
@@ -700,6 +727,119 @@
         m_dispatcher.committed(m_dispatcher.collect());
         CPPUNIT_ASSERT_EQUAL(size_t(1), m_dispatcher.takeEmptiedWorkers().size());
     }
+
+    // Guards against the fault of review/5: a job counted as running from the order of its first
+    // start, so callers were told 0 pending jobs while a worker refused all starts.
+    void jobWhoseStartsWereRefusedIsPending()
+    {
+        putWorker("a", 1000);
+        report("a", 10);
+        m_dispatcher.addJob(makeJob("j", 1, 1000), at(10));
+        int64_t ms = 20;
+        for (const OrderAnswer answer :
+             {OrderAnswer::Superseded, OrderAnswer::Late, OrderAnswer::NoRoom, OrderAnswer::Invalid,
+              OrderAnswer::Unhealthy, OrderAnswer::WrongWorker, OrderAnswer::NotSent}) {
+            const Orders orders = decide(ms);
+            CPPUNIT_ASSERT_EQUAL(size_t(1), orders.starts.size());
+            assertQueued();
+            m_dispatcher.onStartAnswered(orders.starts[0], answer, at(ms + 5));
+            assertQueued();
+            ms += 2000; // longer than a worker that refused is left out
+            report("a", ms - 10);
+        }
+        const Orders orders = decide(ms);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), orders.starts.size());
+        m_dispatcher.onStartAnswered(orders.starts[0], OrderAnswer::Accepted, at(ms + 5));
+        assertRunning();
+    }
+
+    // Guards against a job that goes back to queued while one of its tasks runs.
+    void refusedStartLeavesAStartedJobRunning()
+    {
+        putWorker("a", 2000);
+        report("a", 10);
+        m_dispatcher.addJob(makeJob("j", 2, 1000), at(10));
+        const Orders orders = decide(20);
+        CPPUNIT_ASSERT_EQUAL(size_t(2), orders.starts.size());
+        m_dispatcher.onStartAnswered(orders.starts[0], OrderAnswer::Accepted, at(25));
+        m_dispatcher.onStartAnswered(orders.starts[1], OrderAnswer::Unhealthy, at(25));
+        assertRunning();
+    }
+
+    // Guards against a job that counts as not started although a worker may have run its task.
+    void unansweredStartCountsAsStarted()
+    {
+        putWorker("a", 1000);
+        report("a", 10);
+        m_dispatcher.addJob(makeJob("j", 1, 1000), at(10));
+        const Orders first = decide(20);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), first.starts.size());
+        assertQueued();
+        m_dispatcher.onStartAnswered(first.starts[0], OrderAnswer::Unknown, at(720));
+        assertRunning();
+        report("a", 730);
+        const Orders second = decide(740);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), second.stops.size());
+        m_dispatcher.onStopAnswered(second.stops[0], OrderAnswer::Accepted, at(745));
+        report("a", 760);
+        const Orders third = decide(770);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), third.starts.size());
+        m_dispatcher.onStartAnswered(third.starts[0], OrderAnswer::Unhealthy, at(775));
+        assertRunning();
+    }
+
+    // Guards against the same where the run is no longer known when the start times out, because
+    // the worker has been replaced in the meantime.
+    void lateUnansweredStartCountsAsStarted()
+    {
+        putWorker("a", 1000);
+        report("a", 10);
+        m_dispatcher.addJob(makeJob("j", 1, 1000), at(10));
+        const Orders orders = decide(20);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), orders.starts.size());
+        m_dispatcher.onWorkerReplaced(WorkerId("a"), at(30));
+        decide(40);
+        CPPUNIT_ASSERT_EQUAL(uint64_t(1), m_dispatcher.statistics().lost);
+        m_dispatcher.onStartAnswered(orders.starts[0], OrderAnswer::Unknown, at(720));
+        assertRunning();
+    }
+
+    // A report may list a run before the response to its start has arrived.
+    void reportedRunCountsAsStarted()
+    {
+        putWorker("a", 1000);
+        report("a", 10);
+        m_dispatcher.addJob(makeJob("j", 1, 1000), at(10));
+        const Orders orders = decide(20);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), orders.starts.size());
+        assertQueued();
+        report("a", 30, {{.task = "j.0.0.0", .attempt = orders.starts[0].attempt}});
+        assertRunning();
+    }
+
+    void adoptedRunCountsAsStarted()
+    {
+        putWorker("a", 1000);
+        m_dispatcher.restoreJob(makeJob("j", 1, 1000), std::nullopt, false, at(0),
+                                UnixMilliseconds(0));
+        assertQueued();
+        report("a", 10, {{.task = "j.0.0.0", .attempt = 1}});
+        assertRunning();
+    }
+
+    // Guards against a restored job that counts as not started, and is stored as such, although a
+    // failure of its task was read.
+    void endOfAnEarlierOwnersRunCountsAsStarted()
+    {
+        putWorker("a", 1000);
+        m_dispatcher.restoreJob(makeJob("j", 1, 1000), std::nullopt, false, at(0),
+                                UnixMilliseconds(0));
+        report("a", 10, {}, {{1, "j.0.0.0", 1, EndKind::Failed, ""}});
+        assertRunning();
+        const Batch batch = m_dispatcher.collect();
+        CPPUNIT_ASSERT_EQUAL(size_t(1), batch.rows.size());
+        CPPUNIT_ASSERT(batch.rows[0].state == JobState::Running);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherTest);
