Take the newest version of all peers when started in an outage

Also, the live members of the last read of the store replaced the configured peers. After all members had lapsed these may be a few that have not got the newest version, and a process that asked only them stayed behind for the outage. Change: the first version is the newest that the peers give within one second; the configured peers are told and asked beside the live members.

--- a/src/settings/follower.cpp
+++ b/src/settings/follower.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <mutex>
+#include <optional>
 #include <utility>
 
 // Index
@@ -30,6 +31,7 @@
 constexpr Duration peerTimeout = seconds(1);
 
 using SettingsPointer = std::shared_ptr<const CellSettings>;
+using PeerAnswer = absl::StatusOr<CellSettings>;
 using ChangeCallback = std::function<void(absl::StatusOr<SettingsVersion>)>;
 
 // Section: table rows
@@ -101,7 +103,8 @@
         , m_platform(platform)
         , m_rpcServer(rpcServer)
         , m_rpcClient(rpcClient)
-        , m_peers(std::move(peers))
+        , m_configuredPeers(std::move(peers))
+        , m_peers(m_configuredPeers)
         , m_timer(context)
     {
     }
@@ -133,7 +136,16 @@
         m_listeners.push_back(std::move(listener));
     }
 
-    void setPeers(std::vector<std::string> peers) { m_peers = std::move(peers); }
+    // The configured peers stay: after all members have lapsed, those that are live at the last
+    // read may be only a few, none of which has the newest version.
+    void setPeers(std::vector<std::string> peers)
+    {
+        m_peers = std::move(peers);
+        for (const std::string &peer : m_configuredPeers) {
+            if (std::find(m_peers.begin(), m_peers.end(), peer) == m_peers.end())
+                m_peers.push_back(peer);
+        }
+    }
 
     SettingsPointer current() const
     {
@@ -235,29 +247,51 @@
         if (m_peers.empty())
             return;
         if (!current()) {
-            for (const std::string &peer : m_peers)
-                askPeer(peer);
+            askAllPeers();
             return;
         }
         // A notice that was missed is not sent again, so a process that holds an older version
         // would stay behind for the whole outage. One peer a poll keeps the load low.
         m_nextPeer = (m_nextPeer + 1) % m_peers.size();
-        askPeer(m_peers[m_nextPeer]);
+        askPeer(m_peers[m_nextPeer], [self = shared_from_this()](PeerAnswer settings) {
+            if (settings.ok())
+                self->apply(*std::move(settings), "peer");
+        });
+    }
+
+    // Applies the newest version that a peer has. The first answer may come from one that missed
+    // notices, and this instance may have had a newer version in force before it was restarted.
+    void askAllPeers()
+    {
+        struct Round
+        {
+            size_t awaited = 0;
+            std::optional<CellSettings> newest = {};
+        };
+        const auto round = std::make_shared<Round>();
+        round->awaited = m_peers.size();
+        for (const std::string &peer : m_peers) {
+            askPeer(peer, [self = shared_from_this(), round](PeerAnswer settings) {
+                if (settings.ok() && (!round->newest || settings->version > round->newest->version))
+                    round->newest = *std::move(settings);
+                if (--round->awaited == 0 && round->newest)
+                    self->apply(*std::move(round->newest), "peer");
+            });
+        }
     }
 
-    void askPeer(const std::string &peer)
+    // The callback comes on the control thread, within peerTimeout.
+    void askPeer(const std::string &peer, std::function<void(PeerAnswer)> callback)
     {
         m_rpcClient.call(
                 peer, "settings.current", {}, BootClock::now() + peerTimeout,
-                [self = shared_from_this()](absl::StatusOr<rpc::Message> answer) {
-                    if (!answer.ok())
-                        return;
-                    absl::StatusOr<CellSettings> settings = cellSettingsFromJson(answer->content);
-                    if (!settings.ok())
-                        return;
+                [self = shared_from_this(),
+                 callback = std::move(callback)](const absl::StatusOr<rpc::Message> &answer) {
+                    PeerAnswer settings = answer.ok() ? cellSettingsFromJson(answer->content)
+                                                      : PeerAnswer(answer.status());
                     boost::asio::dispatch(self->m_context,
-                                          [self, settings = *std::move(settings)]() mutable {
-                                              self->apply(std::move(settings), "peer");
+                                          [callback, settings = std::move(settings)]() mutable {
+                                              callback(std::move(settings));
                                           });
                 });
     }
@@ -386,8 +420,9 @@
     platform::Client &m_platform;
     rpc::Server &m_rpcServer;
     rpc::Client &m_rpcClient;
-    std::vector<std::string> m_peers;
-    size_t m_nextPeer = 0; // asked last while the store is away
+    const std::vector<std::string> m_configuredPeers;
+    std::vector<std::string> m_peers; // live members and the configured peers
+    size_t m_nextPeer = 0;            // asked last while the store is away
     boost::asio::steady_timer m_timer;
     std::vector<Listener> m_listeners;
     mutable std::mutex m_mutex; // guards m_current, which traffic threads read
--- a/src/settings/follower.h
+++ b/src/settings/follower.h
@@ -41,7 +41,8 @@
     void start();
     void addListener(Listener listener); // called on each version, which only rises
 
-    // Addresses told of accepted changes at once; RPC addresses of all live members.
+    // RPC addresses of all live members. They and the configured peers are told of accepted changes
+    // at once, and asked for the newest version while the store is not available.
     void setPeers(std::vector<std::string> peers);
 
     // The newest known settings; null until the first were read. Any thread may call it.
