--- a/tests/integration/settings_test.cpp
+++ b/tests/integration/settings_test.cpp
@@ -101,7 +101,8 @@
             version = assertChanged(cell, "c" + number, version);
             assertInForce(cell, version);
         }
-        CPPUNIT_ASSERT_EQUAL(std::string(), watch.stop());
+        const std::string violations = watch.stop();
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(cell.logs(), std::string(), violations);
         CPPUNIT_ASSERT_EQUAL(version, storedVersion(cell));
     }
 
