--- a/tests/usersplatform/deployment.cpp
+++ b/tests/usersplatform/deployment.cpp
@@ -121,7 +121,7 @@
             "\"127.0.0.1\", \"membersPort\": ",
             adminPort, ", \"callersAddress\": \"", member.callers, "\", \"readinessAddress\": \"",
             member.readiness, "\", \"platform\": \"127.0.0.1:", member.storeLink->port(),
-            "\", \"maxLeaseMs\": 10000, \"stopGraceMs\": 6000}");
+            "\", \"maxLeaseMs\": 10000, \"stopGraceMs\": 6000", m_options.moreSettings, "}");
 }
 
 absl::Status Deployment::startMember(size_t index)
--- a/tests/usersplatform/deployment.h
+++ b/tests/usersplatform/deployment.h
@@ -28,7 +28,8 @@
     int workers = 3;
     int64_t workerCores = 4000; // thousandths, of each
     uint64_t seed = 1;
-    std::string binFolder; // holds cwl-cell
+    std::string binFolder;         // holds cwl-cell
+    std::string moreSettings = {}; // of each member: ", \"key\": value" any number of times
 };
 
 struct MemberProcess
