Bound the memory and descriptors that clients can make a process use

Cause: Boost.Beast 1.74 keeps trailers and chunk lines in the receive buffer until they are complete, and that buffer had no maximum size. Reads were composed, so that a session did not know in the middle of a body what it held, and nothing bounded what all connections of a listener held together. Connections that were held open locked others out.

Change: a session reads some bytes at a time into a buffer of at most maxHeaderBytes and parses them with a parser of its own, which builds the plain message, counts fields (at most 256) and discards trailers. Each server has a MemoryBudget for buffers, requests and unread responses: when it is used up, the connection that has been in the middle of a request or of an unread response for the longest time is closed; if only complete requests are left, the new request gets 503 and does not reach the handler. At the connection limit, the connection that has been idle for the longest time is closed in favour of the new one, or else one in the middle of a request; at most 64 connections beyond the limit wait to be closed. An accept that fails for want of descriptors closes an idle connection. The setting memoryMb gives the callers' listener a quarter of the machine's memory, 64 MiB if it is not known. What a client reads of a response has a bounded buffer of 64 KiB, too.

--- a/src/cell/connectionbudget.cpp
+++ b/src/cell/connectionbudget.cpp
@@ -11,6 +11,11 @@
 constexpr double orderShare = 0.1;
 constexpr double callerShare = 0.1;
 
+constexpr size_t megabyte = 1024UL * 1024;
+constexpr size_t unknownMemoryBytes = 64 * megabyte;
+constexpr size_t leastMemoryBytes = 8 * megabyte; // dozens of the largest requests
+constexpr size_t memoryShare = 4;                 // one in so many
+
 } // namespace
 
 ConnectionBudget connectionBudget(int64_t maxDescriptors)
@@ -22,4 +27,11 @@
             size_t(sockets * callerShare)};
 }
 
+size_t callersMemoryBytes(int64_t memoryMb)
+{
+    if (memoryMb <= 0)
+        return unknownMemoryBytes;
+    return std::max(size_t(memoryMb) * megabyte / memoryShare, leastMemoryBytes);
+}
+
 } // namespace cwl::cell
--- a/src/cell/connectionbudget.h
+++ b/src/cell/connectionbudget.h
@@ -1,4 +1,5 @@
-// How a member divides the connections that its process may open.
+// How a member divides the connections that its process may open, and its
+// memory.
 
 #pragma once
 
@@ -20,4 +21,8 @@
 // `maxDescriptors` is the limit of the process; 0: not known, nothing is bounded.
 ConnectionBudget connectionBudget(int64_t maxDescriptors);
 
+// Memory that the connections of clients may hold: a quarter of the machine's
+// `memoryMb`; 0: not known.
+size_t callersMemoryBytes(int64_t memoryMb);
+
 } // namespace cwl::cell
--- a/src/cell/settings.cpp
+++ b/src/cell/settings.cpp
@@ -17,6 +17,7 @@
 constexpr int64_t maxPort = 65535;
 constexpr double maxCores = 1024;
 constexpr int64_t maxDescriptorsLimit = 10000000;
+constexpr int64_t maxMemoryMb = 16L * 1024 * 1024;
 constexpr int64_t minLeaseMs = 1000;
 constexpr int64_t maxAllowedLeaseMs = 600000;
 constexpr int64_t maxStopGraceMs = 600000;
@@ -65,6 +66,7 @@
     settings.metricsPort = uint16_t(reader.integer("metricsPort", 0, 0, maxPort));
     settings.coreShare = reader.real("coreShare", 0, 0, maxCores);
     settings.maxDescriptors = reader.integer("maxDescriptors", 0, 0, maxDescriptorsLimit);
+    settings.memoryMb = reader.integer("memoryMb", 0, 0, maxMemoryMb);
     settings.maxLeaseMs = reader.requiredInteger("maxLeaseMs", minLeaseMs, maxAllowedLeaseMs);
     settings.stopGraceMs = reader.requiredInteger("stopGraceMs", 1000, maxStopGraceMs);
     const absl::Status status = reader.finish();
--- a/src/cell/settings.h
+++ b/src/cell/settings.h
@@ -22,6 +22,7 @@
     uint16_t metricsPort = 0;     // 0: metrics only with the other admin pages
     double coreShare = 0;         // of one core, that this instance may use; 0: not known
     int64_t maxDescriptors = 0;   // of this process; 0: not known
+    int64_t memoryMb = 0;         // of the machine, in megabytes; 0: not known
     int64_t maxLeaseMs = 0;       // a worker shortens longer leases
     int64_t stopGraceMs = 0;      // the process is killed so long after the signal to stop
 };
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -29,8 +29,6 @@
 using asio::ip::tcp;
 using beast::error_code;
 
-constexpr uint32_t maxAnswerHeaderBytes = 64 * 1024;
-
 absl::Status unusableRequest()
 {
     return makeError(Failure::ProtocolError,
--- a/src/http/link.h
+++ b/src/http/link.h
@@ -24,6 +24,8 @@
 using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
 using ResponseParser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+constexpr uint32_t maxAnswerHeaderBytes = 64 * 1024; // of a header, all trailers, a chunk line
+
 // One request on its way. Ends when the callback has been called.
 struct Exchange
 {
@@ -67,7 +69,9 @@
     TimePoint openedAt = {};
     uint64_t uses = 0; // tells the idle periods of one connection apart
     std::shared_ptr<Exchange> exchange = {};
-    boost::beast::flat_buffer buffer = {};
+    // The parser keeps trailers and chunk lines here until they are complete, so
+    // its size bounds them.
+    boost::beast::flat_buffer buffer{maxAnswerHeaderBytes};
     std::optional<ResponseParser> parser = {};
     bool hasWriteFailed = false;
     bool closesAfterAnswer = false;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,6 +1,7 @@
 #include "http/server.h"
 
 #include "base/error.h"
+#include "http/connectiontable.h"
 #include "http/session.h"
 
 #include <boost/asio/ip/address.hpp>
@@ -9,8 +10,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
-#include <mutex>
-#include <unordered_set>
+#include <array>
+#include <cerrno>
 #include <utility>
 
 namespace cwl::http {
@@ -24,8 +25,17 @@
 // Pause after an accept that failed for lack of file descriptors.
 constexpr auto acceptRetryPause = milliseconds(50);
 
+constexpr std::array<const char *, limitCount> limitNames{
+        "memory", "memory_refused", "connections", "connections_refused", "header",
+        "body",   "header_time",    "body_time",   "idle_time",           "write_time"};
+
 } // namespace
 
+const char *limitName(Limit limit)
+{
+    return limitNames[size_t(limit)];
+}
+
 class Server::Implementation : public std::enable_shared_from_this<Server::Implementation>
 {
 public:
@@ -33,11 +43,9 @@
         : m_context(context)
         , m_acceptor(asio::make_strand(context))
         , m_retryTimer(m_acceptor.get_executor())
-        , m_shared(std::make_shared<SessionContext>())
+        , m_connections(std::make_shared<ConnectionTable>(options.maxConnections))
+        , m_shared(std::make_shared<SessionContext>(options, std::move(handler), m_connections))
     {
-        m_shared->options = options;
-        m_shared->maxBodyBytes = options.maxBodyBytes;
-        m_shared->handler = std::move(handler);
     }
 
     absl::Status open();
@@ -47,27 +55,22 @@
 
     uint16_t port() const { return m_port; }
     void setMaxBodyBytes(size_t bytes) { m_shared->maxBodyBytes = bytes; }
-    size_t connections() const
-    {
-        const std::lock_guard lock(m_mutex);
-        return m_sessions.size();
-    }
+    size_t connections() const { return m_connections->size(); }
+    size_t memoryUsed() const { return m_shared->memory.used(); }
+    const ServerStatistics &statistics() const { return m_shared->statistics; }
 
 private:
     void accept();
     void onAccepted(ErrorCode error, tcp::socket socket);
     void admit(tcp::socket socket);
     void admitBacklog();
-    void remove(const std::shared_ptr<Session> &session);
-    std::unordered_set<std::shared_ptr<Session>> sessions() const;
 
     asio::io_context &m_context;
     tcp::acceptor m_acceptor; // on its own strand
     asio::steady_timer m_retryTimer;
+    std::shared_ptr<ConnectionTable> m_connections;
     std::shared_ptr<SessionContext> m_shared;
     uint16_t m_port = 0;
-    mutable std::mutex m_mutex; // guards m_sessions
-    std::unordered_set<std::shared_ptr<Session>> m_sessions;
 };
 
 absl::Status Server::Implementation::open()
@@ -101,10 +104,6 @@
 
 void Server::Implementation::start()
 {
-    m_shared->closed = [weak = weak_from_this()](const std::shared_ptr<Session> &session) {
-        if (const auto self = weak.lock())
-            self->remove(session);
-    };
     asio::post(m_acceptor.get_executor(), [self = shared_from_this()] { self->accept(); });
 }
 
@@ -125,21 +124,21 @@
         accept();
         return;
     }
+    if (error == asio::error::no_descriptors || error.value() == ENFILE)
+        m_connections->closeIdle();
     m_retryTimer.expires_after(acceptRetryPause);
     m_retryTimer.async_wait([self = shared_from_this()](ErrorCode) { self->accept(); });
 }
 
 void Server::Implementation::admit(tcp::socket socket)
 {
-    std::shared_ptr<Session> session;
-    {
-        const std::lock_guard lock(m_mutex);
-        if (m_shared->isDown || m_sessions.size() >= m_shared->options.maxConnections)
-            return; // the socket closes as it goes out of scope
-        session = std::make_shared<Session>(std::move(socket), m_shared);
-        m_sessions.insert(session);
-    }
-    session->start();
+    if (m_shared->isDown)
+        return; // the socket closes as it goes out of scope
+    const auto session = std::make_shared<Session>(std::move(socket), m_shared);
+    if (m_connections->add(session))
+        session->start();
+    else
+        m_shared->statistics.add(Limit::ConnectionsRefused);
 }
 
 void Server::Implementation::admitBacklog()
@@ -154,18 +153,6 @@
     }
 }
 
-void Server::Implementation::remove(const std::shared_ptr<Session> &session)
-{
-    const std::lock_guard lock(m_mutex);
-    m_sessions.erase(session);
-}
-
-std::unordered_set<std::shared_ptr<Session>> Server::Implementation::sessions() const
-{
-    const std::lock_guard lock(m_mutex);
-    return m_sessions;
-}
-
 void Server::Implementation::stopAccepting()
 {
     m_shared->isStopping = true;
@@ -175,7 +162,7 @@
         ErrorCode ignored;
         self->m_acceptor.close(ignored);
         self->m_retryTimer.cancel();
-        for (const std::shared_ptr<Session> &session : self->sessions())
+        for (const std::shared_ptr<Session> &session : self->m_connections->sessions())
             session->stop();
     });
 }
@@ -188,7 +175,7 @@
         ErrorCode ignored;
         self->m_acceptor.close(ignored);
         self->m_retryTimer.cancel();
-        for (const std::shared_ptr<Session> &session : self->sessions())
+        for (const std::shared_ptr<Session> &session : self->m_connections->sessions())
             session->shut();
     });
 }
@@ -226,6 +213,16 @@
     return m_implementation->connections();
 }
 
+size_t Server::memoryUsed() const
+{
+    return m_implementation->memoryUsed();
+}
+
+const ServerStatistics &Server::statistics() const
+{
+    return m_implementation->statistics();
+}
+
 void Server::setMaxBodyBytes(size_t bytes)
 {
     m_implementation->setMaxBodyBytes(bytes);
--- a/src/http/session.cpp
+++ b/src/http/session.cpp
@@ -6,10 +6,9 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace cwl::http {
@@ -20,6 +19,12 @@
 namespace beast = boost::beast;
 
 constexpr size_t readBytes = 4096;
+constexpr size_t bodyReadBytes = 16UL * 1024; // fewer reads of a body, in a buffer that is bounded
+
+// Of a session without its buffer: the session itself, its parser and the operations under way.
+constexpr size_t sessionBytes = 4096;
+
+constexpr int64_t overloadRetryMs = 1000;
 
 // A connection accepted shortly before the stop may have a request on its way; it has this long.
 constexpr auto firstRequestGrace = milliseconds(1000);
@@ -71,7 +76,10 @@
     : m_stream(std::move(socket))
     , m_context(std::move(context))
     , m_stopTimer(m_stream.get_executor())
+    , m_charge(m_context->memory)
+    , m_buffer(std::max(m_context->options.maxHeaderBytes, readBytes))
 {
+    m_charge.hold(sessionBytes + readBytes);
     beast::error_code ignored;
     m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
 }
@@ -95,6 +103,50 @@
     asio::post(m_stream.get_executor(), [self = shared_from_this()] { self->close(); });
 }
 
+void Session::evict(Limit limit)
+{
+    asio::post(m_stream.get_executor(), [self = shared_from_this(), limit] {
+        if (self->m_phase != Phase::Handling)
+            self->closeFor(limit);
+    });
+}
+
+// Section: the shares of the listener
+
+void Session::moveTo(Stage stage)
+{
+    if (const auto connections = m_context->connections.lock())
+        connections->move(m_entry, stage);
+}
+
+size_t Session::ownMemory() const
+{
+    return sessionBytes + std::max(m_buffer.capacity(), readBytes);
+}
+
+// Goes on with `next` once another connection has given memory back.
+void Session::relieve(Step next)
+{
+    moveTo(Stage::Active);
+    const auto connections = m_context->connections.lock();
+    const Relief relief = connections ? connections->relieve(m_entry) : Relief::Self;
+    if (relief == Relief::Self) {
+        closeFor(Limit::Memory);
+        return;
+    }
+    if (relief == Relief::None) {
+        m_context->statistics.add(Limit::MemoryRefused);
+        refuse(503,
+               makeError(Failure::NotReady, "too many requests at the same time",
+                         {.retryAfterMs = overloadRetryMs}));
+        return;
+    }
+    asio::post(m_stream.get_executor(), [self = shared_from_this(), next] {
+        if (self->m_phase == Phase::Reading)
+            (self.get()->*next)();
+    });
+}
+
 // Section: reading
 
 void Session::awaitRequest()
@@ -102,140 +154,196 @@
     if (m_phase == Phase::Closed)
         return;
     m_phase = Phase::Idle;
+    m_parser.reset();
+    moveTo(Stage::Idle);
     if (m_buffer.size() > 0) {
-        readHeader(); // pipelined: the next request is here already
+        beginRequest(); // pipelined: the next request is here already
         return;
     }
+    if (m_buffer.capacity() > readBytes)
+        m_buffer.shrink_to_fit();
+    m_charge.hold(ownMemory());
     m_stream.expires_after(m_context->options.idleTimeout);
-    m_stream.async_read_some(m_buffer.prepare(readBytes),
+    read();
+}
+
+void Session::read()
+{
+    const size_t room = m_buffer.max_size() - m_buffer.size();
+    const size_t unused = m_buffer.capacity() - m_buffer.size();
+    const size_t wanted = m_phase == Phase::Reading && m_isHeaderDone ? bodyReadBytes : readBytes;
+    m_stream.async_read_some(m_buffer.prepare(std::min(room, std::max(unused, wanted))),
                              [self = shared_from_this()](beast::error_code error, size_t bytes) {
-                                 self->onFirstBytes(error, bytes);
+                                 self->onRead(error, bytes);
                              });
 }
 
-void Session::onFirstBytes(beast::error_code error, size_t bytes)
+void Session::onRead(beast::error_code error, size_t bytes)
 {
+    addReceived(Traffic::HttpServer, bytes);
     if (m_phase == Phase::Closed)
         return;
+    if (error == beast::error::timeout) {
+        closeFor(timeLimit());
+        return;
+    }
     if (error) {
         close();
         return;
     }
     m_buffer.commit(bytes);
-    readHeader();
+    if (m_phase == Phase::Idle)
+        beginRequest();
+    else
+        parse();
 }
 
-void Session::readHeader()
+Limit Session::timeLimit() const
+{
+    if (m_phase == Phase::Idle)
+        return Limit::IdleTime;
+    return m_isHeaderDone ? Limit::BodyTime : Limit::HeaderTime;
+}
+
+void Session::beginRequest()
 {
     m_phase = Phase::Reading;
-    m_parser.emplace();
-    m_parser->header_limit(uint32_t(m_context->options.maxHeaderBytes));
-    m_parser->body_limit(m_context->maxBodyBytes.load());
+    m_isHeaderDone = false;
+    m_parser.emplace(RequestLimits{.headerBytes = m_context->options.maxHeaderBytes,
+                                   .headerFields = m_context->options.maxHeaderFields,
+                                   .bodyBytes = m_context->maxBodyBytes.load()});
     m_stream.expires_after(m_context->options.headerTimeout);
-    beast::http::async_read_header(
-            m_stream, m_buffer, *m_parser,
-            [self = shared_from_this()](beast::error_code error, size_t bytes) {
-                addReceived(Traffic::HttpServer, bytes);
-                self->onHeader(error);
-            });
+    parse();
 }
 
-void Session::onHeader(beast::error_code error)
+void Session::parse()
 {
-    if (m_phase == Phase::Closed)
-        return;
-    m_isHead = m_parser->get().method() == beast::http::verb::head;
-    if (error == beast::http::error::body_limit) {
-        refuse(413, "the body is larger than the limit");
+    if (!m_charge.tryHold(ownMemory() + m_parser->memoryWith(m_buffer.size()))) {
+        relieve(&Session::parse);
         return;
     }
-    const bool isSyntax = error.category()
-            == beast::http::make_error_code(beast::http::error::end_of_stream).category();
-    if (isSyntax && error != beast::http::error::end_of_stream
-        && error != beast::http::error::partial_message
-        && error != beast::http::error::header_limit) {
-        refuse(400, "the header is not valid HTTP: " + error.message());
+    if (!parseBuffered())
         return;
+    if (m_parser->is_done())
+        onRequest();
+    else
+        readMore();
+}
+
+// Returns false if the request has been refused, or goes on later.
+bool Session::parseBuffered()
+{
+    while (m_buffer.size() > 0 && !m_parser->is_done()) {
+        beast::error_code error;
+        m_buffer.consume(m_parser->put(m_buffer.data(), error));
+        if (error == beast::http::error::need_more)
+            break;
+        if (error) {
+            onParseError(error);
+            return false;
+        }
+        if (!m_isHeaderDone && m_parser->is_header_done() && !onHeader())
+            return false;
     }
-    if (error) {
-        close();
+    return true;
+}
+
+void Session::readMore()
+{
+    if (m_buffer.size() == m_buffer.max_size()) {
+        closeFor(Limit::Header); // a header, trailer or chunk line that does not end
         return;
     }
-    const auto &header = m_parser->get();
-    if (header.count(beast::http::field::transfer_encoding) > 0 && !m_parser->chunked()) {
-        refuse(400, "the only transfer encoding understood is chunked");
-        return;
+    moveTo(Stage::Active);
+    read();
+}
+
+// Returns false if the request has been refused, or goes on once it has been confirmed.
+bool Session::onHeader()
+{
+    m_isHeaderDone = true;
+    if (m_parser->hasTransferEncoding() && !m_parser->chunked()) {
+        refuse(400,
+               makeError(Failure::MalformedBody,
+                         "the only transfer encoding understood is chunked"));
+        return false;
     }
-    if (beast::http::token_list(header[beast::http::field::expect]).exists("100-continue"))
-        sendContinue();
+    m_stream.expires_after(m_context->options.bodyTimeout);
+    if (!m_parser->expectsContinue() || m_parser->is_done())
+        return true;
+    sendContinue();
+    return false;
+}
+
+void Session::onParseError(beast::error_code error)
+{
+    if (error == beast::http::error::body_limit)
+        refuseBody();
+    else if (error == beast::http::error::header_limit)
+        closeFor(Limit::Header);
+    else if (m_isHeaderDone)
+        close();
     else
-        readBody();
+        refuse(400,
+               makeError(Failure::MalformedBody,
+                         "the header is not valid HTTP: " + error.message()));
 }
 
 void Session::sendContinue()
 {
+    moveTo(Stage::Active);
     m_continue = {beast::http::status::continue_, 11};
     beast::http::async_write(m_stream, m_continue,
                              [self = shared_from_this()](beast::error_code error, size_t) {
                                  if (error)
                                      self->close();
-                                 else
-                                     self->readBody();
+                                 else if (self->m_phase == Phase::Reading)
+                                     self->parse();
                              });
 }
 
-void Session::readBody()
-{
-    if (m_phase == Phase::Closed)
-        return;
-    m_stream.expires_after(m_context->options.bodyTimeout);
-    beast::http::async_read(m_stream, m_buffer, *m_parser,
-                            [self = shared_from_this()](beast::error_code error, size_t bytes) {
-                                addReceived(Traffic::HttpServer, bytes);
-                                self->onRequest(error);
-                            });
-}
-
-void Session::onRequest(beast::error_code error)
+void Session::onRequest()
 {
-    if (m_phase == Phase::Closed)
-        return;
-    if (error == beast::http::error::body_limit) {
-        refuse(413, "the body is larger than the limit");
-        return;
-    }
-    if (error || m_context->isDown) {
+    if (m_context->isDown) {
         close();
         return;
     }
     m_phase = Phase::Handling;
+    moveTo(Stage::Owed);
     m_stream.expires_never();
-    BeastRequest request = m_parser->release();
-    m_keepAlive = request.keep_alive();
+    m_isHead = m_parser->isHead();
+    m_keepAlive = m_parser->keep_alive();
+    m_charge.hold(ownMemory() + m_parser->memory());
     const auto owed = std::make_shared<Answer>(weak_from_this());
-    m_context->handler(toPlain(std::move(request)),
+    m_context->handler(m_parser->release(),
                        [owed](Response response) { owed->send(std::move(response)); });
 }
 
 // Section: answering
 
-void Session::refuse(int status, const std::string &message)
+void Session::refuse(int status, const absl::Status &failure)
 {
-    const Failure failure = status == 413 ? Failure::BodyTooLarge : Failure::MalformedBody;
-    ErrorDetail detail;
-    if (status == 413)
-        detail.limit = std::to_string(m_context->maxBodyBytes) + " bytes";
-    Response response{.status = status,
-                      .body = writeJson(errorToJson(makeError(failure, message, detail)))};
+    Response response{.status = status, .body = writeJson(errorToJson(failure))};
     response.headers.set("Content-Type", "application/json");
+    if (status == 503)
+        response.headers.set("Retry-After", std::to_string(overloadRetryMs / 1000));
     for (const auto &[name, value] : m_context->options.refusalHeaders.all())
         response.headers.set(name, value);
     m_phase = Phase::Handling;
+    m_isHead = m_parser->isHead();
     m_keepAlive = false;
     m_mustDrain = true;
     answer(std::move(response));
 }
 
+void Session::refuseBody()
+{
+    m_context->statistics.add(Limit::Body);
+    refuse(413,
+           makeError(Failure::BodyTooLarge, "the body is larger than the limit",
+                     {.limit = std::to_string(m_context->maxBodyBytes) + " bytes"}));
+}
+
 void Session::answer(Response response)
 {
     if (m_phase != Phase::Handling)
@@ -245,8 +353,15 @@
     // A request that was received together with this one is still owed an answer.
     if (m_context->isStopping && m_buffer.size() == 0)
         m_keepAlive = false;
+    m_parser.reset();
     m_response = toBeast(std::move(response));
     m_response->keep_alive(m_keepAlive);
+    moveTo(Stage::Active);
+    m_charge.hold(ownMemory() + m_response->body().capacity());
+    if (m_context->memory.isExceeded()) {
+        if (const auto connections = m_context->connections.lock())
+            connections->relieveOthers(m_entry);
+    }
     write();
 }
 
@@ -267,10 +382,15 @@
 
 void Session::onWritten(beast::error_code error)
 {
-    if (m_phase == Phase::Closed)
-        return;
     m_serializer.reset();
     m_response.reset();
+    if (m_phase == Phase::Closed) {
+        leave();
+        return;
+    }
+    m_phase = Phase::Idle;
+    if (error == beast::error::timeout)
+        m_context->statistics.add(Limit::WriteTime);
     if (error) {
         close();
         return;
@@ -294,6 +414,7 @@
     if (m_phase != Phase::Draining)
         m_stream.expires_after(drainTimeout);
     m_phase = Phase::Draining;
+    m_charge.hold(ownMemory());
     m_buffer.clear();
     m_stream.async_read_some(m_buffer.prepare(readBytes),
                              [self = shared_from_this()](beast::error_code error, size_t bytes) {
@@ -331,14 +452,31 @@
     });
 }
 
+void Session::closeFor(Limit limit)
+{
+    if (m_phase != Phase::Closed)
+        m_context->statistics.add(limit);
+    close();
+}
+
 void Session::close()
 {
     if (m_phase == Phase::Closed)
         return;
+    const bool isWriting = m_phase == Phase::Writing;
     m_phase = Phase::Closed;
     m_stopTimer.cancel();
     m_stream.close();
-    m_context->closed(shared_from_this());
+    if (!isWriting) // a response is kept until its write has ended
+        leave();
+}
+
+void Session::leave()
+{
+    m_parser.reset();
+    m_charge.hold(0);
+    if (const auto connections = m_context->connections.lock())
+        connections->remove(m_entry);
 }
 
 } // namespace cwl::http
--- a/src/http/wire.cpp
+++ b/src/http/wire.cpp
@@ -25,11 +25,6 @@
         beast::http::field::expect,
 };
 
-bool isFraming(beast::http::field name)
-{
-    return std::find(framingFields.begin(), framingFields.end(), name) != framingFields.end();
-}
-
 // Repeated fields are joined by commas, as RFC 7230 section 3.2.2 allows.
 template <typename Fields>
 Headers plainHeaders(const Fields &fields)
@@ -94,6 +89,11 @@
 
 } // namespace
 
+bool isFraming(beast::http::field name)
+{
+    return std::find(framingFields.begin(), framingFields.end(), name) != framingFields.end();
+}
+
 Request toPlain(BeastRequest &&message)
 {
     Request request;
--- a/src/http/wire.h
+++ b/src/http/wire.h
@@ -19,6 +19,9 @@
 using BeastRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using BeastResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
+// True for a field that frames the message or belongs to one connection.
+bool isFraming(boost::beast::http::field name);
+
 // Fields that frame the message or belong to one connection are left out of the plain messages.
 Request toPlain(BeastRequest &&message);
 Response toPlain(BeastResponse &&message);
--- a/tests/cell/connectionbudget_test.cpp
+++ b/tests/cell/connectionbudget_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE(ConnectionBudgetTest);
     CPPUNIT_TEST(sharesLeaveRoomForMembers);
     CPPUNIT_TEST(unknownLimitBoundsNothing);
+    CPPUNIT_TEST(callersMemoryIsAQuarter);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -30,6 +31,17 @@
 
     // Guards against a limit of zero where the settings name none.
     void unknownLimitBoundsNothing() { CPPUNIT_ASSERT_EQUAL(SIZE_MAX, connectionBudget(0).polls); }
+
+    // Guards against callers that take the memory of the smallest machine, or
+    // none where it is not known.
+    void callersMemoryIsAQuarter()
+    {
+        constexpr size_t megabyte = 1024UL * 1024;
+        CPPUNIT_ASSERT_EQUAL(30 * megabyte, callersMemoryBytes(120));
+        CPPUNIT_ASSERT_EQUAL(128 * megabyte, callersMemoryBytes(512));
+        CPPUNIT_ASSERT_EQUAL(64 * megabyte, callersMemoryBytes(0));
+        CPPUNIT_ASSERT_EQUAL(8 * megabyte, callersMemoryBytes(1));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConnectionBudgetTest);
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(largeAnswerIsRefused);
     CPPUNIT_TEST(earlyRefusalOfLargeBodyIsRead);
     CPPUNIT_TEST(malformedAnswerIsProtocolError);
+    CPPUNIT_TEST(endlessTrailersOfAnAnswerAreRefused);
     CPPUNIT_TEST(requestThatCannotBeWrittenIsRefused);
     CPPUNIT_TEST(destroyedClientFailsWhatIsUnderWay);
     CPPUNIT_TEST(closeAllKeepsBusyConnections);
@@ -313,6 +314,17 @@
         CPPUNIT_ASSERT(failureAfter("this is not HTTP\r\n\r\n") == Failure::ProtocolError);
     }
 
+    // Guards against a server whose trailers or chunk extension fill the client's
+    // memory.
+    void endlessTrailersOfAnAnswerAreRefused()
+    {
+        const std::string start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const std::string endless(300000, 'x');
+        CPPUNIT_ASSERT(failureAfter(start + "1\r\na\r\n0\r\nX: " + endless)
+                       == Failure::ProtocolError);
+        CPPUNIT_ASSERT(failureAfter(start + "1;" + endless) == Failure::ProtocolError);
+    }
+
     // Guards against a path or header of a caller that adds a second request.
     void requestThatCannotBeWrittenIsRefused()
     {
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 using namespace httptest;
+using cwl::http::Limit;
 using cwl::http::Request;
 using cwl::http::Responder;
 using cwl::http::Response;
@@ -57,6 +58,16 @@
     CPPUNIT_TEST(malformedHeaderIsRefused);
     CPPUNIT_TEST(unknownTransferEncodingIsRefused);
     CPPUNIT_TEST(connectionsBeyondTheLimitAreClosed);
+    CPPUNIT_TEST(idleConnectionMakesRoomForANewOne);
+    CPPUNIT_TEST(unfinishedRequestMakesRoomForANewOne);
+    CPPUNIT_TEST(endlessTrailerClosesTheConnection);
+    CPPUNIT_TEST(endlessChunkExtensionClosesTheConnection);
+    CPPUNIT_TEST(manyFieldsCloseTheConnection);
+    CPPUNIT_TEST(chunkedBodyWithTrailersIsRead);
+    CPPUNIT_TEST(oldestUnfinishedRequestIsClosedForMemory);
+    CPPUNIT_TEST(requestIsRefusedIfOnlyCompleteOnesAreLeft);
+    CPPUNIT_TEST(unreadResponseIsClosedForMemory);
+    CPPUNIT_TEST(memoryIsGivenBack);
     CPPUNIT_TEST(slowHeaderClosesTheConnection);
     CPPUNIT_TEST(slowBodyClosesTheConnection);
     CPPUNIT_TEST(idleConnectionIsClosed);
@@ -112,7 +123,8 @@
     void chunkedBodyOverTheLimitIsRefused()
     {
         PlainSocket socket(start({.maxBodyBytes = 1000}));
-        socket.write("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n"
+        socket.write("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: "
+                     "chunked\r\n\r\n3e9\r\n"
                      + std::string(1001, 'x') + "\r\n0\r\n\r\n");
         CPPUNIT_ASSERT(socket.readToEnd());
         CPPUNIT_ASSERT(socket.received().starts_with("HTTP/1.1 413 "));
@@ -145,25 +157,200 @@
         CPPUNIT_ASSERT(socket.received().starts_with("HTTP/1.1 400 "));
     }
 
-    // Guards against a flood of connections that exhausts the file descriptors.
+    // Guards against a flood of connections that exhausts the file descriptors,
+    // and against requests that are cut off for a new connection.
     void connectionsBeyondTheLimitAreClosed()
     {
-        const uint16_t port = start({.maxConnections = 2});
+        const uint16_t port = startHolding({.maxConnections = 2});
         PlainSocket first(port);
         PlainSocket second(port);
-        CPPUNIT_ASSERT(waitUntil([this] { return m_server->connections() == 2; }));
+        first.write("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+        second.write("GET /b HTTP/1.1\r\nHost: a\r\n\r\n");
+        CPPUNIT_ASSERT(waitUntil([this] { return m_held.size() == 2; }));
         PlainSocket third(port);
         CPPUNIT_ASSERT(third.readToEnd());
-        first.write("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
-        CPPUNIT_ASSERT(first.readTo("GET /a ").starts_with("HTTP/1.1 200 "));
+        CPPUNIT_ASSERT_EQUAL(size_t(2), m_server->connections());
+        CPPUNIT_ASSERT_EQUAL(uint64_t(1), m_server->statistics().count(Limit::ConnectionsRefused));
+        m_held.take()({.status = 200, .body = "held"});
+        m_held.take()({.status = 200, .body = "held"});
+        CPPUNIT_ASSERT(first.readTo("held").starts_with("HTTP/1.1 200 "));
+        CPPUNIT_ASSERT(second.readTo("held").starts_with("HTTP/1.1 200 "));
         first.close();
         CPPUNIT_ASSERT(waitUntil([this] { return m_server->connections() == 1; }));
         PlainSocket fourth(port);
         fourth.write("GET /b HTTP/1.1\r\nHost: a\r\n\r\n");
-        CPPUNIT_ASSERT(fourth.readTo("GET /b ").starts_with("HTTP/1.1 200 "));
+        CPPUNIT_ASSERT(waitUntil([this] { return m_held.size() == 1; }));
+        m_held.take()({.status = 200, .body = "fourth"});
+        CPPUNIT_ASSERT(fourth.readTo("fourth").starts_with("HTTP/1.1 200 "));
+    }
+
+    // Guards against clients that lock others out by holding connections that
+    // they do not use.
+    void idleConnectionMakesRoomForANewOne()
+    {
+        const uint16_t port = start({.maxConnections = 2});
+        PlainSocket first(port);
+        CPPUNIT_ASSERT(waitUntil([this] { return m_server->connections() == 1; }));
+        PlainSocket second(port);
+        CPPUNIT_ASSERT(waitUntil([this] { return m_server->connections() == 2; }));
+        PlainSocket third(port);
+        third.write("GET /c HTTP/1.1\r\nHost: a\r\n\r\n");
+        CPPUNIT_ASSERT(third.readTo("GET /c ").starts_with("HTTP/1.1 200 "));
+        CPPUNIT_ASSERT(first.readToEnd());
+        second.write("GET /b HTTP/1.1\r\nHost: a\r\n\r\n");
+        CPPUNIT_ASSERT(second.readTo("GET /b ").starts_with("HTTP/1.1 200 "));
+        CPPUNIT_ASSERT_EQUAL(uint64_t(1), m_server->statistics().count(Limit::Connections));
+    }
+
+    // Guards against clients that lock others out with requests that they never
+    // complete.
+    void unfinishedRequestMakesRoomForANewOne()
+    {
+        const uint16_t port = start({.maxConnections = 1});
+        PlainSocket first(port);
+        first.write("GET /a HT");
+        CPPUNIT_ASSERT(waitUntil([this] { return m_server->connections() == 1; }));
+        PlainSocket second(port);
+        second.write("GET /b HTTP/1.1\r\nHost: a\r\n\r\n");
+        CPPUNIT_ASSERT(second.readTo("GET /b ").starts_with("HTTP/1.1 200 "));
+        CPPUNIT_ASSERT(first.readToEnd());
+    }
+
+    // Guards against trailers that fill the memory before the request is
+    // complete.
+    void endlessTrailerClosesTheConnection()
+    {
+        PlainSocket socket(start({.maxHeaderBytes = 8000}));
+        socket.write("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: "
+                     "chunked\r\n\r\n1\r\na\r\n"
+                     "0\r\nX: "
+                     + std::string(20000, 'x'));
+        CPPUNIT_ASSERT(socket.readToEnd());
+        CPPUNIT_ASSERT(socket.received().empty());
+        CPPUNIT_ASSERT_EQUAL(uint64_t(1), m_server->statistics().count(Limit::Header));
+    }
+
+    // Guards against a chunk extension that fills the memory.
+    void endlessChunkExtensionClosesTheConnection()
+    {
+        PlainSocket socket(start({.maxHeaderBytes = 8000}));
+        socket.write("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1;"
+                     + std::string(20000, 'x'));
+        CPPUNIT_ASSERT(socket.readToEnd());
+        CPPUNIT_ASSERT(socket.received().empty());
+    }
+
+    // Guards against small fields, each of which takes far more memory than its
+    // bytes.
+    void manyFieldsCloseTheConnection()
+    {
+        const auto request = [](int fields) {
+            std::string text = "GET /f HTTP/1.1\r\n";
+            for (int field = 0; field < fields; ++field)
+                text += "f" + std::to_string(field) + ": a\r\n";
+            return text + "\r\n";
+        };
+        const uint16_t port = start({});
+        PlainSocket most(port);
+        most.write(request(256));
+        CPPUNIT_ASSERT(most.readTo("GET /f ").starts_with("HTTP/1.1 200 "));
+        PlainSocket more(port);
+        more.write(request(257));
+        CPPUNIT_ASSERT(more.readToEnd());
+        CPPUNIT_ASSERT(more.received().empty());
+    }
+
+    // Guards against trailers or chunk lines that reach the handler, or end the
+    // request.
+    void chunkedBodyWithTrailersIsRead()
+    {
+        PlainSocket socket(start({}, [](const Request &request, const Responder &respond) {
+            respond({.status = 200,
+                     .body = request.body + (request.headers.contains("X") ? "bad" : ";end")});
+        }));
+        socket.write("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: "
+                     "chunked\r\n\r\n2;a=b\r\nab"
+                     "\r\n3\r\ncde\r\n0\r\nX: y\r\n\r\n");
+        CPPUNIT_ASSERT(socket.readTo("end").ends_with("abcde;end"));
+    }
+
+    // Guards against incomplete requests that together fill the memory, and
+    // against an ordinary request that is refused because of them.
+    void oldestUnfinishedRequestIsClosedForMemory()
+    {
+        const uint16_t port = start({.memoryBytes = 400000});
+        const std::string part = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\n\r\n"
+                + std::string(100000, 'x');
+        PlainSocket first(port);
+        first.write(part);
+        CPPUNIT_ASSERT(waitUntil([this] { return m_server->memoryUsed() > 100000; }));
+        PlainSocket second(port);
+        second.write(part);
+        CPPUNIT_ASSERT(waitUntil([this] { return m_server->memoryUsed() > 200000; }));
+        PlainSocket third(port);
+        third.write(part + std::string(100000, 'x'));
+        CPPUNIT_ASSERT(third.readTo("POST / ").starts_with("HTTP/1.1 200 "));
+        CPPUNIT_ASSERT(first.readToEnd());
+        CPPUNIT_ASSERT(first.received().empty());
+        CPPUNIT_ASSERT(m_server->memoryUsed() <= 400000);
+        CPPUNIT_ASSERT(m_server->statistics().count(Limit::Memory) > 0);
+    }
+
+    // Guards against complete requests that fill the memory, and against a
+    // refused request that runs all the same.
+    void requestIsRefusedIfOnlyCompleteOnesAreLeft()
+    {
+        const uint16_t port = startHolding({.memoryBytes = 200000});
+        const std::string request = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n"
+                + std::string(100000, 'x');
+        PlainSocket first(port);
+        first.write(request);
+        CPPUNIT_ASSERT(waitUntil([this] { return m_held.size() == 1; }));
+        PlainSocket second(port);
+        second.write(request);
+        CPPUNIT_ASSERT(second.readToEnd());
+        CPPUNIT_ASSERT(second.received().starts_with("HTTP/1.1 503 "));
+        CPPUNIT_ASSERT(second.received().find("Retry-After: 1\r\n") != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(size_t(1), m_held.size());
+        m_held.take()({.status = 200, .body = "first"});
+        CPPUNIT_ASSERT(first.readTo("first").starts_with("HTTP/1.1 200 "));
+    }
+
+    // Guards against responses that nobody reads and that together fill the
+    // memory.
+    void unreadResponseIsClosedForMemory()
+    {
+        const uint16_t port =
+                start({.memoryBytes = 24000000}, [](const Request &, const Responder &respond) {
+                    respond({.status = 200, .body = std::string(10000000, 'x')});
+                });
+        std::vector<std::unique_ptr<PlainSocket>> sockets;
+        for (int i = 0; i < 4; ++i) {
+            sockets.push_back(std::make_unique<PlainSocket>(port));
+            sockets.back()->write("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        }
+        CPPUNIT_ASSERT(
+                waitUntil([this] { return m_server->statistics().count(Limit::Memory) >= 2; }));
+        CPPUNIT_ASSERT(waitUntil([this] { return m_server->memoryUsed() <= 24000000; }));
+    }
+
+    // Guards against memory that stays charged after its request, until nothing
+    // is served.
+    void memoryIsGivenBack()
+    {
+        const uint16_t port = start({.memoryBytes = 1000000});
+        for (int i = 0; i < 30; ++i) {
+            PlainSocket socket(port);
+            socket.write("POST /g HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\n\r\n"
+                         + std::string(200000, 'x'));
+            CPPUNIT_ASSERT(socket.readTo("POST /g ").starts_with("HTTP/1.1 200 "));
+        }
+        CPPUNIT_ASSERT(waitUntil([this] { return m_server->memoryUsed() == 0; }));
+        CPPUNIT_ASSERT_EQUAL(uint64_t(0), m_server->statistics().count(Limit::Memory));
     }
 
-    // Guards against callers that hold connections by sending a header byte by byte.
+    // Guards against callers that hold connections by sending a header byte by
+    // byte.
     void slowHeaderClosesTheConnection()
     {
         PlainSocket socket(start({.headerTimeout = milliseconds(100)}));
