Export what the limits of the HTTP servers have done

Cause: connections closed and requests refused by a limit left no trace.

Change: the node reads the statistics of its own and the program's servers once a second and exports cwl_http_limited_total by listener and limit, cwl_http_memory_bytes and cwl_http_connections. For each listener and limit that took effect it logs client_limited with the count, at most once a second.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -4,6 +4,7 @@
 #include "base/json.h"
 #include "base/traffic.h"
 #include "node/adminpages.h"
+#include "node/listenerwatch.h"
 #include "node/log.h"
 #include "node/readiness.h"
 #include "node/statedump.h"
@@ -71,6 +72,7 @@
     Readiness readiness;
     StateDump dump;
     AdminPages pages;
+    ListenerWatch listeners;
     std::unique_ptr<supervisor::Supervisor> supervisor;
     std::vector<std::pair<std::string, http::Handler>> routes;
     std::vector<std::function<void(std::function<void()>)>> stopHandlers;
@@ -119,6 +121,7 @@
     , options(nodeOptions)
     , dump(control, traffic)
     , pages(dump, readiness, metrics)
+    , listeners(metrics)
     , supervisor(supervisor::Supervisor::create(program, supervisor::createScheduler(control),
                                                 options.restarts))
     , m_controlDelay(metrics.histogram("cwl_control_delay_seconds",
@@ -148,7 +151,9 @@
     if (!opened.ok())
         return opened.status();
     server = *std::move(opened);
-    // A write to a connection that the peer closed is an error of that write, not of the process.
+    listeners.add("members", *server);
+    // A write to a connection that the peer closed is an error of that write, not
+    // of the process.
     std::signal(SIGPIPE, SIG_IGN);
     for (const int signal : {SIGTERM, SIGINT, SIGUSR1, SIGHUP})
         m_signals.add(signal);
@@ -254,6 +259,7 @@
     const TimePoint now = BootClock::now();
     m_controlDelay.observe(now - due);
     readiness.evaluate(now);
+    listeners.report(now);
     const TimePoint next = now + gateInterval;
     m_gateTimer.expires_at(next);
     m_gateTimer.async_wait([this, next](boost::system::error_code error) {
@@ -440,6 +446,11 @@
     return *m_implementation->supervisor;
 }
 
+void Node::watch(const std::string &listener, const http::Server &server)
+{
+    m_implementation->listeners.add(listener, server);
+}
+
 metrics::Registry &Node::metrics()
 {
     return m_implementation->metrics;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -67,6 +67,10 @@
     // thread; when the root fails, the process ends with SupervisorFailed.
     supervisor::Supervisor &supervisor();
 
+    // Exports the limits of a server besides the node's own. Register before
+    // run(); the server must exist until run() returns.
+    void watch(const std::string &listener, const http::Server &server);
+
     metrics::Registry &metrics(); // exported at /metrics; any thread
 
     // Called on the control thread on the first SIGTERM or SIGINT; the process exits when `done` is
