--- a/tests/http/fuzz_test.cpp
+++ b/tests/http/fuzz_test.cpp
@@ -23,17 +23,19 @@
 constexpr size_t maxBody = 3000;
 constexpr size_t maxHeader = 6000;
 
+const std::string chunkedHeader =
+        "POST /c HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+const std::string upgradeHeader =
+        "GET / HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n";
+
 const std::vector<std::string> validRequests{
         "GET /a?b=c HTTP/1.1\r\nHost: a\r\n\r\n",
         "HEAD / HTTP/1.1\r\nHost: a\r\nA: 1\r\nA: 2\r\n\r\n",
         "POST /b HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n0123456789",
-        "POST /b HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: "
-        "3\r\n\r\nabc",
-        "POST /c HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: "
-        "chunked\r\n\r\n3;x=y\r\nabc\r\nA\r\n"
-        "0123456789\r\n0\r\nT: u\r\n\r\n",
-        "GET / HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: "
-        "websocket\r\n\r\n",
+        "POST /b HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\nabc",
+        chunkedHeader + "3;x=y\r\nabc\r\nA\r\n0123456789\r\n0\r\nT: u\r\n\r\n",
+        upgradeHeader,
         "DELETE /d HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n\r\n",
 };
 
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -140,6 +140,7 @@
     CPPUNIT_TEST(readinessFollowsItsGates);
     CPPUNIT_TEST(routesAndErrors);
     CPPUNIT_TEST(stateAndMetricsPages);
+    CPPUNIT_TEST(limitsOfClientsAreCounted);
     CPPUNIT_TEST(stalledControlThreadIsReported);
     CPPUNIT_TEST(largeSectionsAreLeftOut);
     CPPUNIT_TEST(stopCutsNoRequest);
@@ -170,6 +171,23 @@
         CPPUNIT_ASSERT(!node->isReady());
     }
 
+    // Guards against a limit that takes effect and leaves no trace for the operators.
+    void limitsOfClientsAreCounted()
+    {
+        const auto node = createNode();
+        Running running(*node);
+        running.awaitStatus("/healthz", 200);
+        CPPUNIT_ASSERT(!await(running.begin("/" + std::string(20000, 'a'))).ok());
+        const std::string line = "cwl_http_limited_total{limit=\"header\",listener=\"members\"} 1";
+        const cwl::TimePoint end = cwl::BootClock::now() + generous;
+        while (running.fetch("/metrics").body.find(line) == std::string::npos) {
+            CPPUNIT_ASSERT(cwl::BootClock::now() < end);
+            std::this_thread::sleep_for(cwl::milliseconds(20));
+        }
+        node->stop();
+        CPPUNIT_ASSERT(running.exitCode() == ExitCode::Success);
+    }
+
     // Guards against requests that reach the wrong handler or get no typed answer.
     void routesAndErrors()
     {
