Let the soak withdraw keys and lower caps

Cause: the soak had no customers, so no run with failures judged keys or caps. Change: three customers with two keys and a cap each; versions withdraw the second key, lower the cap and restore both. Judged: no 2xx with a key of no configuration; none with a withdrawn key 6 s after the withdrawal (3 s after the member could read the store again); never more tasks of a customer at once than 1.1 times its highest cap, plus one.

--- a/tests/usersplatform/deployment.cpp
+++ b/tests/usersplatform/deployment.cpp
@@ -32,9 +32,10 @@
 
 } // namespace
 
-std::string Deployment::configuration(int version)
+std::string Deployment::configuration(int version, const std::string &customers)
 {
-    return absl::StrCat("{\"version\":", version, ",", routes);
+    const std::string field = absl::StrCat("\"tenants\":[", customers, "],");
+    return absl::StrCat("{\"version\":", version, ",", customers.empty() ? "" : field, routes);
 }
 
 Deployment::Deployment(const DeploymentOptions &options)
@@ -84,7 +85,7 @@
     const absl::Status opened = m_store->open();
     if (!opened.ok())
         return opened;
-    m_store->put("op", "config", configuration(firstVersion));
+    m_store->put("op", "config", configuration(firstVersion, m_options.customers));
     m_store->put("servers", "strange", "bytes that cannot be read");
     for (int index = 0; index < m_options.workers; ++index) {
         m_workers.push_back(
--- a/tests/usersplatform/deployment.h
+++ b/tests/usersplatform/deployment.h
@@ -28,7 +28,8 @@
     int workers = 3;
     int64_t workerCores = 4000; // thousandths, of each
     uint64_t seed = 1;
-    std::string binFolder; // holds cwl-cell
+    std::string binFolder;      // holds cwl-cell
+    std::string customers = {}; // entries of the first configuration; empty: none are in force
 };
 
 struct MemberProcess
@@ -52,7 +53,8 @@
     // Starts the stand-ins and all members. Error: those of the sockets and processes.
     absl::Status open();
 
-    static std::string configuration(int version); // of the operator, with one queue
+    // Of the operator, with one queue and these entries of customers; empty: without customers.
+    static std::string configuration(int version, const std::string &customers = {});
 
     absl::Status startMember(size_t index);
     MemberProcess &member(size_t index) { return m_members[index]; }
--- a/tests/usersplatform/soak.cpp
+++ b/tests/usersplatform/soak.cpp
@@ -9,9 +9,11 @@
 #include "usersplatform/soakclients.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <docopt/docopt.h>
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <iostream>
 #include <map>
@@ -39,13 +41,30 @@
 constexpr int faultPauseMs = 700;          // at most, between the beginnings of two failures
 constexpr Duration patience = seconds(60); // until all is done after the last failure
 
+constexpr int64_t longestLinkHarmMs = 6000;
+// Cores; each task asks for one. The first customer has two clients, the others one each.
+constexpr std::array<int64_t, soakCustomers.size()> highestCaps = {5, 3, 3};
+constexpr double capOvershoot = 1.1; // tolerated, and one task
+
+// Of the configuration. In place of a withdrawn key it repeats the other one.
+std::string entry(size_t customer, int64_t cap, bool isKeyWithdrawn = false)
+{
+    return absl::StrCat(R"({"name":")", soakCustomers[customer], R"(","apiKeys":[")",
+                        soakKey(customer, false), R"(",")", soakKey(customer, !isKeyWithdrawn),
+                        R"("],"weight":3,"cap":{"cpu":)", cap, "000}}");
+}
+
 class Soak
 {
 public:
     Soak(uint64_t seed, Duration time)
         : m_time(time)
         , m_random(seed)
-        , m_deployment({.members = 4, .workers = 5, .seed = seed, .binFolder = CWL_BIN_FOLDER})
+        , m_deployment({.members = 4,
+                        .workers = 5,
+                        .seed = seed,
+                        .binFolder = CWL_BIN_FOLDER,
+                        .customers = absl::StrJoin(m_customers, ",")})
     {
     }
 
@@ -70,14 +89,19 @@
     void harmLink(const std::string &name, standins::ProxyLink &link);
     void harmStore();
     void restartWorker(size_t index);
+    void putCustomer(size_t customer, int64_t cap, bool isKeyWithdrawn);
     void changeConfig();
+    void judgeCap(const std::string &task);
     void runDue(TimePoint now);
     void restoreAll();
     std::vector<std::string> judge(SoakClients &clients);
 
     const Duration m_time;
     std::mt19937_64 m_random;
+    std::array<std::string, soakCustomers.size()> m_customers = {
+            entry(0, highestCaps[0]), entry(1, highestCaps[1]), entry(2, highestCaps[2])};
     Deployment m_deployment;
+    SoakClients *m_clients = nullptr;           // from the first failure on
     std::multimap<TimePoint, Action> m_actions; // ends of failures, and restarts
     int m_configVersion = 3;
 };
@@ -131,7 +155,7 @@
                                              R"({"refuse":true})",    R"({"silenceOpen":true})",
                                              R"({"closeOpen":true})", R"({"freeze":"both"})"};
     const std::string &begin = begins[size_t(draw(0, int64_t(begins.size()) - 1))];
-    const int64_t time = draw(300, 6000);
+    const int64_t time = draw(300, longestLinkHarmMs);
     note(absl::StrCat(name, " ", begin, " for ", time, " ms"));
     m_deployment.onStandins([&] { link.command(*parseJson(begin)); });
     later(time, [this, &link] {
@@ -147,6 +171,9 @@
     const int64_t time = draw(300, 5000);
     const int64_t kind = draw(0, 4);
     note(absl::StrCat("store kind ", kind, " for ", time, " ms"));
+    // Kinds 0 and 4 leave the configuration readable.
+    for (size_t index = 0; kind % 4 != 0 && index < m_deployment.memberCount(); ++index)
+        m_clients->noteStoreHarmed(index, BootClock::now() + milliseconds(time));
     m_deployment.onStandins([&] {
         StoreFaults &faults = m_deployment.store().faults;
         faults.lostAnswers = kind == 0 ? 0.35 : 0;
@@ -181,20 +208,35 @@
     });
 }
 
-void Soak::changeConfig()
+void Soak::putCustomer(size_t customer, int64_t cap, bool isKeyWithdrawn)
 {
-    m_configVersion += int(draw(1, 3));
-    note(absl::StrCat("configuration ", m_configVersion));
+    const std::string key = soakKey(customer, true);
+    note(absl::StrCat("configuration ", ++m_configVersion, ": cap ", cap,
+                      isKeyWithdrawn ? " without " : " with ", key));
+    m_customers[customer] = entry(customer, cap, isKeyWithdrawn);
+    m_clients->setWithdrawn(key, TimePoint::max());
     m_deployment.onStandins([this] {
-        m_deployment.store().put("op", "config", Deployment::configuration(m_configVersion));
+        m_deployment.store().put(
+                "op", "config",
+                Deployment::configuration(m_configVersion, absl::StrJoin(m_customers, ",")));
     });
+    m_clients->setWithdrawn(key, isKeyWithdrawn ? BootClock::now() : TimePoint::max());
+}
+
+void Soak::changeConfig()
+{
+    const auto customer = size_t(draw(0, int64_t(soakCustomers.size()) - 1));
+    m_configVersion += int(draw(0, 2));
+    putCustomer(customer, draw(1, highestCaps[customer]), draw(0, 2) > 0);
+    later(draw(4000, 12000),
+          [this, customer] { putCustomer(customer, highestCaps[customer], false); });
 }
 
 void Soak::beginFault()
 {
     const auto member = size_t(draw(0, int64_t(m_deployment.memberCount()) - 1));
     const auto worker = size_t(draw(0, int64_t(m_deployment.workerCount()) - 1));
-    switch (draw(0, 14)) {
+    switch (draw(0, 15)) {
     case 0:
     case 1:
         return killMember(member);
@@ -211,9 +253,11 @@
     case 7:
         return harmStore();
     case 8:
+        m_clients->noteStoreHarmed(member, BootClock::now() + milliseconds(longestLinkHarmMs));
         return harmLink(absl::StrCat("store link of member ", member),
                         *m_deployment.member(member).storeLink);
     case 9:
+    case 15:
         return changeConfig();
     case 10:
     case 11:
@@ -243,6 +287,18 @@
 
 // Section: the promises
 
+// On the thread of the stand-ins, at each start on a worker.
+void Soak::judgeCap(const std::string &task)
+{
+    const size_t customer = soakCustomerOf(task);
+    int64_t tasks = 0;
+    for (const auto &[other, worker] : m_deployment.ledger().running)
+        tasks += soakCustomerOf(other) == customer ? 1 : 0;
+    if (double(tasks) > capOvershoot * double(highestCaps[customer]) + 1)
+        m_deployment.ledger().broken.push_back(
+                absl::StrCat("over the cap of ", soakCustomers[customer], ": ", tasks, " ", task));
+}
+
 std::vector<std::string> Soak::judge(SoakClients &clients)
 {
     const TimePoint deadline = BootClock::now() + patience;
@@ -283,7 +339,11 @@
         std::cerr << "cell-soak: " << opened << "\n";
         return 1;
     }
+    m_deployment.onStandins([this] {
+        m_deployment.ledger().onStarted = [this](const std::string &task) { judgeCap(task); };
+    });
     SoakClients clients(m_deployment, seed);
+    m_clients = &clients;
     const TimePoint end = BootClock::now() + m_time;
     TimePoint next = BootClock::now() + seconds(2);
     while (BootClock::now() < end) {
--- a/tests/usersplatform/soakclients.cpp
+++ b/tests/usersplatform/soakclients.cpp
@@ -17,6 +17,10 @@
 constexpr Duration clientDeadline = seconds(3);
 constexpr Duration pauseBetweenJobs = milliseconds(120);
 constexpr int cancelOneIn = 8;
+constexpr size_t strangeKeyOneIn = 8; // calls
+constexpr const char *strangeKey = "in-no-configuration";
+constexpr Duration versionTime = seconds(6);          // until one is in force; 3 s are allowed
+constexpr Duration versionTimeAfterHarm = seconds(3); // from when the store responds again
 
 std::string jobBody(int steps)
 {
@@ -40,6 +44,7 @@
 SoakClients::SoakClients(Deployment &deployment, uint64_t seed)
     : m_deployment(deployment)
     , m_work(boost::asio::make_work_guard(m_context))
+    , m_storeHarmedUntil(deployment.memberCount())
 {
     for (size_t member = 0; member < deployment.memberCount(); ++member)
         m_clients.push_back(
@@ -70,6 +75,12 @@
             "X-Deadline-Ms",
             absl::StrCat(std::chrono::duration_cast<milliseconds>(clientDeadline).count()));
     request.body = body;
+    const size_t number = ++m_calls;
+    const std::string key = number % strangeKeyOneIn == 0
+            ? strangeKey
+            : soakKey(soakCustomerOf(id), number % 2 == 0);
+    request.headers.set("Authorization", "Token " + key);
+    const TimePoint sentAt = BootClock::now();
     std::promise<absl::StatusOr<http::Response>> promise;
     m_clients[member]->send(
             std::move(request), BootClock::now() + clientDeadline,
@@ -79,9 +90,27 @@
         return 0;
     if (answer)
         *answer = response->body;
+    const std::lock_guard lock(m_mutex);
+    const bool isLate = m_withdrawn.contains(key) && sentAt - versionTime >= m_withdrawn[key]
+            && sentAt - versionTimeAfterHarm >= m_storeHarmedUntil[member];
+    m_lateCalls += isLate ? 1 : 0;
+    if ((isLate || key == strangeKey) && response->status / 100 == 2)
+        m_broken.push_back(absl::StrCat("served by member ", member, " with ", key));
     return response->status;
 }
 
+void SoakClients::setWithdrawn(const std::string &key, TimePoint from)
+{
+    const std::lock_guard lock(m_mutex);
+    m_withdrawn[key] = from;
+}
+
+void SoakClients::noteStoreHarmed(size_t member, TimePoint until)
+{
+    const std::lock_guard lock(m_mutex);
+    m_storeHarmedUntil[member] = std::max(m_storeHarmedUntil[member], until);
+}
+
 void SoakClients::submit(const std::string &id, int steps, size_t member)
 {
     {
@@ -96,7 +125,7 @@
         job.isAccepted = status == 200;
         if (job.isAccepted)
             return;
-        job.isUncertain = job.isUncertain || (status != 503 && status != 429);
+        job.isUncertain = job.isUncertain || (status != 503 && status != 429 && status != 401);
     }
 }
 
@@ -237,7 +266,8 @@
         accepted += job.isAccepted ? 1 : 0;
         cancelled += job.isCancelled ? 1 : 0;
     }
-    return absl::StrCat(m_jobs.size(), " jobs, ", accepted, " accepted, ", cancelled, " cancelled");
+    return absl::StrCat(m_jobs.size(), " jobs, ", accepted, " accepted, ", cancelled,
+                        " cancelled, ", m_lateCalls, " calls with withdrawn keys");
 }
 
 } // namespace cwl::usersplatform
--- a/tests/usersplatform/soakclients.h
+++ b/tests/usersplatform/soakclients.h
@@ -6,6 +6,7 @@
 #include "http/client.h"
 #include "usersplatform/deployment.h"
 
+#include <array>
 #include <atomic>
 #include <map>
 #include <mutex>
@@ -17,6 +18,19 @@
 
 namespace cwl::usersplatform {
 
+constexpr std::array<const char *, 3> soakCustomers = {"north", "south", "east"};
+
+// Each customer has two keys; the second one may be withdrawn.
+inline std::string soakKey(size_t customer, bool isSecond)
+{
+    return std::string(soakCustomers[customer]) + (isSecond ? "-key-2" : "-key-1");
+}
+
+inline size_t soakCustomerOf(const std::string &job)
+{
+    return size_t(job[7] - '1') % soakCustomers.size(); // ids begin with the client's number
+}
+
 class SoakClients
 {
 public:
@@ -25,6 +39,9 @@
 
     void stopSubmitting() { m_isSubmitting = false; }
 
+    void setWithdrawn(const std::string &key, TimePoint from); // max(): it is not
+    void noteStoreHarmed(size_t member, TimePoint until);
+
     // What is known so far. Any thread.
     std::vector<std::string> unfinished() const; // accepted jobs not shown as ended
     std::vector<std::string> broken() const;     // answers that are untrue by themselves
@@ -57,12 +74,16 @@
     std::vector<std::unique_ptr<http::Client>>
             m_clients; // one of each member; they keep connections
     std::thread m_network;
+    std::atomic<size_t> m_calls = 0;
     std::atomic<bool> m_isSubmitting = true;
     std::atomic<bool> m_isStopping = false;
     mutable std::mutex m_mutex; // guards what follows
     std::map<std::string, Job> m_jobs;
     std::vector<std::string> m_broken;
-    std::vector<std::thread> m_threads; // last: they use the others
+    std::map<std::string, TimePoint> m_withdrawn; // keys
+    std::vector<TimePoint> m_storeHarmedUntil;    // that the member may not reach
+    size_t m_lateCalls = 0;                       // with a key whose withdrawal had to be in force
+    std::vector<std::thread> m_threads;           // last: they use the others
 };
 
 } // namespace cwl::usersplatform
--- a/tests/usersplatform/workers.cpp
+++ b/tests/usersplatform/workers.cpp
@@ -205,6 +205,7 @@
         m_ledger.broken.push_back("over capacity: " + m_id);
     m_ledger.running[task] = m_id;
     m_ledger.started.insert(task.substr(0, task.find('.')));
+    m_ledger.onStarted(task);
     Run &run = m_running[task];
     run.attempt = attempt;
     run.startedMs = clockMs();
--- a/tests/usersplatform/workers.h
+++ b/tests/usersplatform/workers.h
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -32,6 +33,7 @@
     std::set<std::string> started;      // jobs
     std::vector<std::string> broken;    // rules
     size_t acknowledged = 0;            // ends
+    std::function<void(const std::string &task)> onStarted = [](const std::string &) {};
 };
 
 // Lives on the thread that runs the io_context.
