--- a/tests/usersplatform/deployment.h
+++ b/tests/usersplatform/deployment.h
@@ -30,6 +30,8 @@
     uint64_t seed = 1;
     std::string binFolder;         // holds cwl-cell
     std::string moreSettings = {}; // of each member: ", \"key\": value" any number of times
+    std::string binFolder;      // holds cwl-cell
+    std::string customers = {}; // entries of the first configuration; empty: none are in force
 };
 
 struct MemberProcess
@@ -53,7 +55,8 @@
     // Starts the stand-ins and all members. Error: those of the sockets and processes.
     absl::Status open();
 
-    static std::string configuration(int version); // of the operator, with one queue
+    // Of the operator, with one queue and these entries of customers; empty: without customers.
+    static std::string configuration(int version, const std::string &customers = {});
 
     absl::Status startMember(size_t index);
     MemberProcess &member(size_t index) { return m_members[index]; }
