--- a/tests/usersplatform/deployment.h
+++ b/tests/usersplatform/deployment.h
@@ -30,8 +30,7 @@
     uint64_t seed = 1;
     std::string binFolder;         // holds cwl-cell
     std::string moreSettings = {}; // of each member: ", \"key\": value" any number of times
-    std::string binFolder;      // holds cwl-cell
-    std::string customers = {}; // entries of the first configuration; empty: none are in force
+    std::string customers = {};    // entries of the first configuration; empty: none are in force
 };
 
 struct MemberProcess
