Check the memory budget again before a request is refused, and go on freeing while it is exceeded

Change: a request asks the budget once more before it is refused; a connection that leaves while the budget is exceeded has the next one closed, but never the last active one.

--- a/src/http/connectiontable.cpp
+++ b/src/http/connectiontable.cpp
@@ -112,6 +112,16 @@
     end(victim);
 }
 
+void ConnectionTable::relieveRest()
+{
+    const std::lock_guard lock(m_mutex);
+    auto &active = list(Stage::Active);
+    if (!list(Stage::Ending).empty() || active.size() < 2)
+        return;
+    active.front().session->evict(Limit::Memory);
+    end(active.begin());
+}
+
 bool ConnectionTable::closeIdle()
 {
     const std::lock_guard lock(m_mutex);
--- a/src/http/connectiontable.h
+++ b/src/http/connectiontable.h
@@ -59,6 +59,9 @@
     // Frees memory for a response: as above, but never closes `entry`.
     void relieveOthers(Entry entry);
 
+    // Frees more memory after a connection has been closed; never closes the last active one.
+    void relieveRest();
+
     // Closes one idle connection, for want of descriptors; false if there is none.
     bool closeIdle();
 
--- a/src/http/session.cpp
+++ b/src/http/session.cpp
@@ -125,11 +125,15 @@
 }
 
 // Goes on with `next` once another connection has given memory back.
-void Session::relieve(Step next)
+void Session::relieve(size_t wanted, Step next)
 {
     moveTo(Stage::Active);
     const auto connections = m_context->connections.lock();
-    const Relief relief = connections ? connections->relieve(m_entry) : Relief::Self;
+    Relief relief = connections ? connections->relieve(m_entry) : Relief::Self;
+    // A connection that was being closed on another thread may have ended since the budget was
+    // asked: what it held is given back before it leaves the table.
+    if (connections && relief != Relief::Coming && m_charge.tryHold(wanted))
+        relief = Relief::Coming;
     if (relief == Relief::Self) {
         closeFor(Limit::Memory);
         return;
@@ -218,8 +222,9 @@
 
 void Session::parse()
 {
-    if (!m_charge.tryHold(ownMemory() + m_parser->memoryWith(m_buffer.size()))) {
-        relieve(&Session::parse);
+    const size_t wanted = ownMemory() + m_parser->memoryWith(m_buffer.size());
+    if (!m_charge.tryHold(wanted)) {
+        relieve(wanted, &Session::parse);
         return;
     }
     if (!parseBuffered())
@@ -475,8 +480,13 @@
 {
     m_parser.reset();
     m_charge.hold(0);
-    if (const auto connections = m_context->connections.lock())
-        connections->remove(m_entry);
+    const auto connections = m_context->connections.lock();
+    if (!connections)
+        return;
+    connections->remove(m_entry);
+    // Only one connection is closed at a time, and responses are charged even above the budget.
+    if (m_context->memory.isExceeded())
+        connections->relieveRest();
 }
 
 } // namespace cwl::http
--- a/src/http/session.h
+++ b/src/http/session.h
@@ -90,7 +90,7 @@
     Limit timeLimit() const;
     void moveTo(Stage stage);
     size_t ownMemory() const;
-    void relieve(Step next);
+    void relieve(size_t wanted, Step next);
 
     boost::beast::tcp_stream m_stream;
     std::shared_ptr<SessionContext> m_context;
