--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -280,25 +280,35 @@
 bool attemptsOfAWideJob(Record &record, const std::string &program, bool hasTrouble)
 {
     constexpr size_t tasks = 1500;
-    constexpr int64_t maxAttempts = 4; // of the queue
+    constexpr int64_t maxAttempts = 2; // of the queue
     constexpr int soundJobs = 24;
+    const std::string route =
+            R"({"name":"r2","host":"draws.example","pathPrefix":"/wide/","kind":"non_idempotent",
+            "timeoutMs":3000,"targetLatencyMs":1000,"priority":1,"service":"draw","maxAttempts":2,
+            "slowdownFactor":2.2},)";
     Deployment cell(record, program);
     std::vector<RunnerOptions> runners;
     for (int number = 0; number < 8; ++number)
         runners.push_back({.id = absl::StrCat("i-a", number), .cpu = 16000, .recordedTasks = 5});
     const std::string job = jobId(1);
-    cell.open(3, runners, [&job](const std::string &task, const std::string &) {
-        return task.starts_with(job) ? Behaviour{.runMs = 1500, .how = "failed"}
-                                     : Behaviour{.runMs = 300};
-    });
+    cell.open(
+            3, runners,
+            [&job](const std::string &task, const std::string &) {
+                return task.starts_with(job) ? Behaviour{.runMs = 1500, .how = "failed"}
+                                             : Behaviour{.runMs = 300};
+            },
+            route);
     cell.waitUntilServing();
     // So that one job in twenty and fewer can never be done.
     for (int number = 0; number < soundJobs; ++number)
         submit(cell, size_t(number) % 3, jobId(100 + number),
                R"({"spec":"pair","phases":[{"count":1,"cpu":500,"memMb":64,"estRuntimeMs":300}]})");
-    submit(cell, 0, job,
-           absl::StrCat(R"({"spec":"round","phases":[{"count":)", tasks,
-                        R"(,"cpu":80,"memMb":1,"estRuntimeMs":1500}]})"));
+    const Answer accepted =
+            cell.call(0, "POST", "/wide/" + job,
+                      absl::StrCat(R"({"spec":"round","phases":[{"count":)", tasks,
+                                   R"(,"cpu":80,"memMb":1,"estRuntimeMs":1500}]})"));
+    if (accepted.status != 200)
+        throw CannotRun("the wide job was not accepted");
     const auto failures = [&](size_t index) {
         const auto ends = cell.log().ends.find(absl::StrCat(job, ".0.0.", index));
         return ends == cell.log().ends.end()
