--- a/review/standins-2/cases.cpp
+++ b/review/standins-2/cases.cpp
@@ -26,6 +26,18 @@
     return absl::StrFormat("%016x", 0x5c0e0000 + number);
 }
 
+// A job, and when it was accepted.
+struct Accepted
+{
+    std::string id;
+    int64_t atMs = 0;
+};
+
+bool hasStarted(Deployment &cell, const std::string &task)
+{
+    return cell.onStandins([&] { return cell.log().starts.contains(task); });
+}
+
 void submit(Deployment &cell, size_t member, const std::string &id, const std::string &body)
 {
     if (cell.call(member, "POST", Deployment::prefix + id, body).status != 200)
@@ -102,10 +114,10 @@
                     == 200;
         pause(20);
     }
-    const bool hasStarted =
+    const bool isStarted =
             cell.onStandins([&] { return cell.log().starts.contains(jobId(1000) + ".0.0.0"); });
     record.line(absl::StrCat("an ordinary job of one task was ", isHandedIn ? "" : "not ",
-                             "accepted and has ", hasStarted ? "" : "not ", "started"));
+                             "accepted and has ", isStarted ? "" : "not ", "started"));
     int failedMachines = 0;
     for (size_t index = 0; index < ends.size(); ++index) {
         record.line(absl::StrCat("member ", index, ": ", ends[index], " ends, at most ",
@@ -230,7 +242,7 @@
             }
         });
     pause(3000);
-    std::vector<std::pair<std::string, int64_t>> lasting; // and when they were accepted
+    std::vector<Accepted> lasting;
     const TimePoint until = BootClock::now() + milliseconds(observedMs);
     TimePoint next = BootClock::now();
     int64_t longestMs = 0;
@@ -244,19 +256,18 @@
                           R"("estRuntimeMs":600,"longRunning":true}]})")
                         .status
                 == 200)
-                lasting.emplace_back(id, record.elapsedMs());
+                lasting.push_back({id, record.elapsedMs()});
         }
-        for (const auto &[id, acceptedMs] : lasting) {
-            for (const char *const task : {".0.0.0", ".0.0.1"}) {
-                const bool hasStarted =
-                        cell.onStandins([&] { return cell.log().starts.contains(id + task); });
-                const int64_t waitedMs = record.elapsedMs() - acceptedMs;
-                if (hasStarted)
+        for (const Accepted &job : lasting) {
+            for (const char *const index : {".0.0.0", ".0.0.1"}) {
+                const std::string task = job.id + index;
+                const int64_t waitedMs = record.elapsedMs() - job.atMs;
+                if (hasStarted(cell, task))
                     continue;
                 longestMs = std::max(longestMs, waitedMs);
                 if (waitedMs >= fromLastRunMs + nothingRunsMs && !isLost) {
                     isLost = true;
-                    record.line(absl::StrCat("task ", id, task, " has not started ", waitedMs,
+                    record.line(absl::StrCat("task ", task, " has not started ", waitedMs,
                                              " ms after its job was accepted"));
                 }
             }
@@ -267,9 +278,8 @@
     for (std::thread &client : clients)
         client.join();
     int neverStarted = 0;
-    for (const auto &[id, acceptedMs] : lasting)
-        neverStarted +=
-                cell.onStandins([&] { return cell.log().starts.contains(id + ".0.0.0"); }) ? 0 : 1;
+    for (const Accepted &job : lasting)
+        neverStarted += hasStarted(cell, job.id + ".0.0.0") ? 0 : 1;
     record.line(absl::StrCat(lasting.size(), " lasting jobs, ", neverStarted,
                              " of them never started; the longest wait was ", longestMs, " ms"));
     return !isLost;
@@ -406,7 +416,7 @@
                    R"({"spec":"broken","phases":[{"count":)", failingTasks,
                    R"(,"cpu":250,"memMb":64,"estRuntimeMs":600,"antiAffinity":24,"longRunning":true}]})"));
     pause(9000);
-    std::vector<std::pair<std::string, int64_t>> sound; // and when they were accepted
+    std::vector<Accepted> sound;
     int64_t longestMs = 0;
     bool isLost = false;
     TimePoint next = BootClock::now();
@@ -418,17 +428,18 @@
             submit(cell, 1, id,
                    R"({"spec":"watch","phases":[{"count":1,"cpu":500,"memMb":64,)"
                    R"("estRuntimeMs":600,"longRunning":true}]})");
-            sound.emplace_back(id, record.elapsedMs());
+            sound.push_back({id, record.elapsedMs()});
         }
-        for (const auto &[id, acceptedMs] : sound) {
-            if (cell.onStandins([&] { return cell.log().starts.contains(id + ".0.0.0"); }))
+        for (const Accepted &job : sound) {
+            const std::string task = job.id + ".0.0.0";
+            if (hasStarted(cell, task))
                 continue;
-            const int64_t waitedMs = record.elapsedMs() - acceptedMs;
+            const int64_t waitedMs = record.elapsedMs() - job.atMs;
             longestMs = std::max(longestMs, waitedMs);
             if (waitedMs >= fromLastRunMs + nothingRunsMs && !isLost) {
                 isLost = true;
                 const size_t running = cell.onStandins([&] { return cell.log().running.size(); });
-                record.line(absl::StrCat("task ", id, ".0.0.0 has not started ", waitedMs,
+                record.line(absl::StrCat("task ", task, " has not started ", waitedMs,
                                          " ms after its job was accepted; ", running,
                                          " tasks run, on at most ", running * 500,
                                          " of 128000 thousandths of a core"));
