Send queries for advice only through members that respond

Cause: AdviceRouter took each row of the members table for a caller, and a row stays for 180 s after its member has gone. The reserve for short queries applied by all rows but was compared with the callers that are not paused, so no long query could go while the lost member was paused; after the pause it got the long query, which failed, and was paused again.

Change: AdviceQueue decides without I/O. A member is a caller once it has responded to a probe, and again after each failure. The reserve counts callers that respond and leaves long queries at least one. A query whose caller fails goes to another one. A long query has the caller kept that is idle first, since short queries without a gap leave none idle; the query that has been wanted for longest beyond 1.2 s goes first, one at a time.

Why it works: a caller that is not there takes no query and no part in the reserve, so what is left of the callers serves both kinds.

--- /dev/null
+++ b/src/cell/advicequeue.h
@@ -0,0 +1,115 @@
+// Decides which caller of the advice service gets which query, and when. The service handles one
+// query at a time for each calling instance, so the owner distributes its queries over all members.
+// Does no I/O and reads no clock.
+//
+//  - Only members that respond are callers: their rows stay in the store long after they have gone.
+//    A member gets queries once it has responded to a probe, and after a failure only once it has
+//    responded to another one.
+//  - Long queries leave some of the callers that respond to short ones, but never none to
+//    themselves.
+//  - Queries are sent by priority. A long query needs a caller without any other, so the caller
+//  that
+//    is free first is kept for it: otherwise short queries that come steadily would never leave one
+//    idle.
+//  - A query of low priority that has been wanted for long goes first, one at a time.
+
+#pragma once
+
+#include "base/clock.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cwl::cell {
+
+constexpr Duration adviceQueueTimeout = milliseconds(1200); // for a query that waits for a caller
+constexpr Duration adviceOverdueTime = milliseconds(1200);  // after which a query goes first
+constexpr Duration shortQueryTime = milliseconds(60);       // a caller handles two of these at once
+constexpr size_t maxShortPerCaller = 2;
+constexpr size_t callersReservedForShort = 2;               // not used by long queries
+constexpr int maxAdviceSends = 2;                           // of one query, to different callers
+constexpr Duration callerBackoff = seconds(2);              // after a failure of a caller
+constexpr Duration callerProbeInterval = milliseconds(500); // of a member that does not respond
+
+class AdviceQueue
+{
+public:
+    using Number = uint64_t;
+    struct Query
+    {
+        int64_t priority = 0;       // the lowest goes first
+        Duration expected = {};     // duration of the call
+        TimePoint wantedSince = {}; // also by earlier queries for the same step; zero: since now
+    };
+    struct Assignment
+    {
+        Number query = 0;
+        std::string caller; // address; empty: this process
+    };
+    struct Counts
+    {
+        size_t known = 0;      // callers, with this process
+        size_t responsive = 0; // of them
+        size_t withLong = 0;   // of the responsive ones
+        size_t waiting = 0;    // queries
+    };
+
+    AdviceQueue();
+
+    void setMembers(const std::vector<std::string> &addresses); // the other members
+
+    Number add(const Query &query, TimePoint now);
+    // Returns the queries to send now; they are in flight from then on.
+    std::vector<Assignment> assign(TimePoint now);
+    // Removes and returns the queries that have waited for `adviceQueueTimeout`.
+    std::vector<Number> takeTimedOut(TimePoint now);
+    void onAnswered(Number query);
+    // The caller did not answer the query. Returns true if the query waits for another caller.
+    bool onFailed(Number query, TimePoint now);
+
+    // Returns the members to probe now; none while no query needs a caller.
+    std::vector<std::string> takeProbes(TimePoint now);
+    void onProbed(const std::string &address, bool hasResponded, TimePoint now);
+
+    Counts counts(TimePoint now) const;
+
+private:
+    struct Caller
+    {
+        bool isResponsive = false;
+        bool isProbing = false;
+        TimePoint probeAt = {};
+        TimePoint pausedUntil = {};
+        size_t inFlight = 0;
+        bool hasLongQuery = false;
+
+        bool isUsable(TimePoint now) const { return isResponsive && now >= pausedUntil; }
+    };
+    struct Entry
+    {
+        Query query;
+        TimePoint giveUpAt = {};             // while it waits
+        std::optional<std::string> caller;   // while it is in flight
+        std::vector<std::string> tried = {}; // callers that did not answer it
+        bool isOverdue = false;              // it was sent ahead of its turn
+
+        bool isLong() const { return query.expected > shortQueryTime; }
+    };
+    using Callers = std::map<std::string, Caller>; // by address
+
+    std::vector<Number> waitingInOrder(TimePoint now) const;
+    std::optional<Number> overdueQuery(TimePoint now) const;
+    bool mayTakeLong(TimePoint now) const;
+    Callers::iterator chooseCaller(const Entry &entry, const std::vector<std::string> &kept,
+                                   TimePoint now);
+    void release(Entry &entry);
+
+    Callers m_callers;
+    std::map<Number, Entry> m_queries; // waiting and in flight
+    Number m_last = 0;
+};
+
+} // namespace cwl::cell
--- a/src/cell/advicerouter.cpp
+++ b/src/cell/advicerouter.cpp
@@ -4,7 +4,10 @@
 #include "base/json.h"
 #include "node/log.h"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
+#include <utility>
 
 namespace cwl::cell {
 
@@ -71,127 +74,166 @@
     : m_context(context)
     , m_local(local)
 {
-    m_callers.emplace("", std::make_shared<Caller>());
+}
+
+AdviceRouter::~AdviceRouter()
+{
+    *m_alive = false;
 }
 
 void AdviceRouter::setMembers(const std::vector<std::string> &addresses)
 {
-    std::erase_if(m_callers, [&](const auto &entry) {
-        return !entry.first.empty()
-                && std::find(addresses.begin(), addresses.end(), entry.first) == addresses.end();
-    });
-    for (const std::string &address : addresses) {
-        if (m_callers.contains(address))
-            continue;
-        auto client = http::Client::create(m_context,
-                                           {.address = address,
-                                            .maxConnections = maxCallerConnections,
-                                            .traffic = Traffic::RpcControl});
-        if (!client.ok()) {
-            log::warn("member_address_invalid", {{"address", address}, {"error", client.status()}});
+    m_queue.setMembers(addresses);
+    for (auto client = m_clients.begin(); client != m_clients.end();) {
+        if (std::find(addresses.begin(), addresses.end(), client->first) != addresses.end()) {
+            ++client;
             continue;
         }
-        auto caller = std::make_shared<Caller>();
-        caller->address = address;
-        caller->client = *std::move(client);
-        m_callers.emplace(address, std::move(caller));
+        // A client must not be destroyed inside its own callback.
+        boost::asio::post(m_context, [removed = client->second] {});
+        client = m_clients.erase(client);
     }
 }
 
+AdviceQueue::Counts AdviceRouter::counts() const
+{
+    return m_queue.counts(BootClock::now());
+}
+
 void AdviceRouter::query(const jobs::AdviceQuery &query, AdviceService::Callback callback)
 {
-    m_waiting.emplace(
-            query.priority,
-            WaitingQuery{query, BootClock::now() + adviceQueueTimeout, std::move(callback)});
+    const AdviceQueue::Number number =
+            m_queue.add({query.priority, query.expected, query.wantedSince}, BootClock::now());
+    m_queries.emplace(number, Query{query, std::move(callback)});
     dispatchWaiting();
 }
 
-std::shared_ptr<AdviceRouter::Caller> AdviceRouter::freeCaller(bool isLong, TimePoint now) const
+void AdviceRouter::failTimedOut(TimePoint now)
 {
-    std::shared_ptr<Caller> best;
-    size_t callersWithoutLong = 0;
-    for (const auto &[address, caller] : m_callers) {
-        if (now < caller->pausedUntil)
-            continue;
-        callersWithoutLong += caller->hasLongQuery ? 0 : 1;
-        const bool isFree = !caller->hasLongQuery && caller->inFlight < (isLong ? 1 : 2);
-        if (isFree && (!best || caller->inFlight < best->inFlight))
-            best = caller;
+    const std::vector<AdviceQueue::Number> timedOut = m_queue.takeTimedOut(now);
+    if (timedOut.empty())
+        return;
+    const AdviceQueue::Counts counts = m_queue.counts(now);
+    log::info("advice_queue_timeout",
+              {{"queries", timedOut.size()},
+               {"waiting", counts.waiting},
+               {"callers", counts.known},
+               {"responsive", counts.responsive},
+               {"with_long_query", counts.withLong}});
+    for (const AdviceQueue::Number number : timedOut) {
+        const auto query = m_queries.extract(number);
+        query.mapped().callback(
+                makeError(Failure::QueueFull, "all callers of the advice service are busy"));
     }
-    if (isLong && m_callers.size() > callersReservedForShort
-        && callersWithoutLong <= callersReservedForShort)
-        return nullptr;
-    return best;
 }
 
 void AdviceRouter::dispatchWaiting()
 {
     const TimePoint now = BootClock::now();
-    for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
-        if (now >= entry->second.giveUpAt) {
-            const AdviceService::Callback callback = std::move(entry->second.callback);
-            entry = m_waiting.erase(entry);
-            callback(makeError(Failure::QueueFull, "all callers of the advice service are busy"));
-            continue;
-        }
-        const bool isLong = entry->second.query.expected > shortQueryTime;
-        const std::shared_ptr<Caller> caller = freeCaller(isLong, now);
-        if (!caller) {
-            ++entry;
-            continue;
-        }
-        WaitingQuery waiting = std::move(entry->second);
-        entry = m_waiting.erase(entry);
-        send(caller, std::move(waiting));
-    }
+    failTimedOut(now);
+    for (const std::string &address : m_queue.takeProbes(now))
+        probe(address);
+    for (const AdviceQueue::Assignment &assignment : m_queue.assign(now))
+        send(assignment);
 }
 
-void AdviceRouter::onResponse(const std::shared_ptr<Caller> &caller, bool isLong,
-                              const AdviceService::Callback &callback,
+void AdviceRouter::onResponse(const AdviceQueue::Assignment &assignment,
                               const absl::StatusOr<std::vector<jobs::AllowedWorker>> &allowed)
 {
-    --caller->inFlight;
-    if (isLong)
-        caller->hasLongQuery = false;
-    if (!allowed.ok()) {
-        caller->pausedUntil = BootClock::now() + callerBackoff;
+    bool isRepeated = false;
+    if (allowed.ok()) {
+        m_queue.onAnswered(assignment.query);
+    } else {
+        isRepeated = m_queue.onFailed(assignment.query, BootClock::now());
         log::info("advice_caller_failed",
-                  {{"member", caller->address}, {"error", allowed.status()}});
+                  {{"member", assignment.caller},
+                   {"step", m_queries.at(assignment.query).query.step.stepText()},
+                   {"repeated", isRepeated},
+                   {"error", allowed.status()}});
+    }
+    if (!isRepeated) {
+        const auto query = m_queries.extract(assignment.query);
+        query.mapped().callback(allowed);
     }
-    callback(allowed);
     dispatchWaiting();
 }
 
-void AdviceRouter::send(const std::shared_ptr<Caller> &caller, WaitingQuery waiting)
+std::shared_ptr<http::Client> AdviceRouter::makeClient(const std::string &address)
+{
+    auto client = http::Client::create(m_context,
+                                       {.address = address,
+                                        .maxConnections = maxShortPerCaller,
+                                        .connectTimeout = callerConnectTimeout,
+                                        .traffic = Traffic::RpcControl});
+    if (!client.ok()) {
+        log::warn("member_address_invalid", {{"address", address}, {"error", client.status()}});
+        return nullptr;
+    }
+    return *std::move(client);
+}
+
+std::shared_ptr<http::Client> AdviceRouter::clientOf(const std::string &address)
 {
-    const bool isLong = waiting.query.expected > shortQueryTime;
-    ++caller->inFlight;
-    caller->hasLongQuery = caller->hasLongQuery || isLong;
-    const TimePoint deadline = BootClock::now() + 2 * waiting.query.expected + adviceTimeoutMargin;
-    const std::string step = waiting.query.step.stepText();
-    auto onDone = [this, alive = m_alive, caller, isLong, callback = std::move(waiting.callback)](
-                          const absl::StatusOr<std::vector<jobs::AllowedWorker>> &allowed) {
+    std::shared_ptr<http::Client> &client = m_clients[address];
+    if (!client)
+        client = makeClient(address);
+    return client;
+}
+
+void AdviceRouter::send(const AdviceQueue::Assignment &assignment)
+{
+    const jobs::AdviceQuery &query = m_queries.at(assignment.query).query;
+    const TimePoint deadline = BootClock::now() + 2 * query.expected + adviceTimeoutMargin;
+    const std::string step = query.step.stepText();
+    auto onDone = [this, alive = m_alive,
+                   assignment](const absl::StatusOr<std::vector<jobs::AllowedWorker>> &allowed) {
         if (*alive)
-            onResponse(caller, isLong, callback, allowed);
+            onResponse(assignment, allowed);
     };
-    if (!caller->client) {
-        m_local.ask(step, waiting.query.workers, deadline, std::move(onDone));
+    if (assignment.caller.empty()) {
+        m_local.ask(step, query.workers, deadline, std::move(onDone));
         return;
     }
     http::Request request;
     request.method = "POST";
     request.path = "/cell/advise";
-    request.body = encodeAdviceRequest(step, waiting.query.workers);
-    caller->client->send(std::move(request), deadline,
-                         [onDone](const absl::StatusOr<http::Response> &response) {
-                             if (!response.ok())
-                                 onDone(response.status());
-                             else if (response->status != 200)
-                                 onDone(makeError(Failure::ProtocolError,
-                                                  "the member did not forward the advice query"));
-                             else
-                                 onDone(decodeAdviceResponse(response->body));
-                         });
+    request.body = encodeAdviceRequest(step, query.workers);
+    // The address is valid: the member has responded to a probe.
+    clientOf(assignment.caller)
+            ->send(std::move(request), deadline,
+                   [onDone](const absl::StatusOr<http::Response> &response) {
+                       if (!response.ok())
+                           onDone(response.status());
+                       else if (response->status != 200)
+                           onDone(makeError(Failure::ProtocolError,
+                                            "the member did not forward the advice query"));
+                       else
+                           onDone(decodeAdviceResponse(response->body));
+                   });
+}
+
+// On a connection of its own: those of the queries may have gone silent.
+void AdviceRouter::probe(const std::string &address)
+{
+    const std::shared_ptr<http::Client> client = makeClient(address);
+    if (!client) {
+        m_queue.onProbed(address, false, BootClock::now());
+        return;
+    }
+    http::Request request;
+    request.path = "/cell/owner";
+    client->send(std::move(request), BootClock::now() + callerProbeTimeout,
+                 [this, alive = m_alive, client, context = &m_context,
+                  address](const absl::StatusOr<http::Response> &response) {
+                     // A client must not be destroyed inside its own callback.
+                     boost::asio::post(*context, [client] {});
+                     if (!*alive)
+                         return;
+                     const bool hasResponded = response.ok() && response->status == 200;
+                     m_queue.onProbed(address, hasResponded, BootClock::now());
+                     if (hasResponded)
+                         dispatchWaiting();
+                 });
 }
 
 } // namespace cwl::cell
--- a/src/cell/advicerouter.h
+++ b/src/cell/advicerouter.h
@@ -1,9 +1,10 @@
-// Distributes queries to the advice service over the members of the cell: the service handles one
-// query at a time for each calling instance.
+// Sends queries to the advice service through the members of the cell, as AdviceQueue decides. Runs
+// on the control thread of the owner.
 
 #pragma once
 
 #include "base/clock.h"
+#include "cell/advicequeue.h"
 #include "cell/ports.h"
 #include "http/client.h"
 
@@ -16,12 +17,9 @@
 
 namespace cwl::cell {
 
-constexpr Duration adviceQueueTimeout = milliseconds(1200); // for a query that waits for a caller
-constexpr Duration shortQueryTime = milliseconds(60);       // a caller handles two of these at once
-constexpr size_t maxCallerConnections = 2;    // as many queries as a caller gets at once
-constexpr size_t callersReservedForShort = 2; // not used by long queries
 constexpr Duration adviceTimeoutMargin = milliseconds(1200); // beyond the expected time
-constexpr Duration callerBackoff = seconds(2);               // after a failure of a caller
+constexpr Duration callerConnectTimeout = milliseconds(300); // it is in the same region
+constexpr Duration callerProbeTimeout = milliseconds(300);   // of one response to a probe
 
 // Bodies of POST /cell/advise between members.
 std::string encodeAdviceRequest(const std::string &step, const std::vector<WorkerId> &workers);
@@ -34,6 +32,7 @@
 {
 public:
     AdviceRouter(boost::asio::io_context &context, AdviceService &local);
+    ~AdviceRouter();
 
     // Addresses of the other members, "ip:port".
     void setMembers(const std::vector<std::string> &addresses);
@@ -45,32 +44,28 @@
     // Called periodically, since no event marks the end of a caller's backoff.
     void dispatchWaiting();
 
+    AdviceQueue::Counts counts() const;
+
 private:
-    struct Caller
-    {
-        std::string address;                  // empty: this process
-        std::unique_ptr<http::Client> client; // none: this process
-        size_t inFlight = 0;
-        bool hasLongQuery = false;
-        TimePoint pausedUntil = {};
-    };
-    struct WaitingQuery
+    struct Query
     {
         jobs::AdviceQuery query;
-        TimePoint giveUpAt;
         AdviceService::Callback callback;
     };
 
-    std::shared_ptr<Caller> freeCaller(bool isLong, TimePoint now) const;
-    void send(const std::shared_ptr<Caller> &caller, WaitingQuery waiting);
-    void onResponse(const std::shared_ptr<Caller> &caller, bool isLong,
-                    const AdviceService::Callback &callback,
+    std::shared_ptr<http::Client> makeClient(const std::string &address);
+    std::shared_ptr<http::Client> clientOf(const std::string &address);
+    void failTimedOut(TimePoint now);
+    void send(const AdviceQueue::Assignment &assignment);
+    void onResponse(const AdviceQueue::Assignment &assignment,
                     const absl::StatusOr<std::vector<jobs::AllowedWorker>> &allowed);
+    void probe(const std::string &address);
 
     boost::asio::io_context &m_context;
     AdviceService &m_local;
-    std::map<std::string, std::shared_ptr<Caller>> m_callers; // by address
-    std::multimap<int64_t, WaitingQuery> m_waiting;           // by priority
+    AdviceQueue m_queue;
+    std::map<AdviceQueue::Number, Query> m_queries;                 // waiting and in flight
+    std::map<std::string, std::shared_ptr<http::Client>> m_clients; // by address
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/cell/owner.cpp
+++ b/src/cell/owner.cpp
@@ -156,6 +156,11 @@
     value["configVersion"] = Json::Int64(m_config.version);
     value["otherMembers"] = Json::UInt64(m_otherMembers);
     value["storeReachable"] = canReachStore(now);
+    const AdviceQueue::Counts advice = m_advice.counts();
+    value["advice"]["callers"] = Json::UInt64(advice.known);
+    value["advice"]["responsive"] = Json::UInt64(advice.responsive);
+    value["advice"]["withLongQuery"] = Json::UInt64(advice.withLong);
+    value["advice"]["waiting"] = Json::UInt64(advice.waiting);
     if (m_isActive)
         value["dispatcher"] = m_dispatcher.state(now);
     return value;
--- a/src/jobs/advice.cpp
+++ b/src/jobs/advice.cpp
@@ -138,6 +138,8 @@
     query.priority =
             candidate.job->spec.steps[candidate.step].longRunning ? -1 : priorityOf(*candidate.job);
     query.expected = policy.decision + policy.perWorker * int64_t(query.workers.size());
+    query.wantedSince = state.advice.wantedSince.value_or(now);
+    state.advice.wantedSince = query.wantedSince;
     state.advice.isPending = true;
     log::info("advice_asked",
               {{"step", query.step.stepText()},
@@ -198,6 +200,7 @@
     if (!step)
         return;
     step->advice.isPending = false;
+    step->advice.wantedSince.reset();
     // A step that finds no capacity with these tickets queries again once most of their validity
     // has passed.
     // Time without a lasting task is lost, so such a step does not wait.
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -112,8 +112,9 @@
 {
     TaskAddress step; // its index is unused
     std::vector<WorkerId> workers;
-    int64_t priority = 0;   // of the queue
-    Duration expected = {}; // duration of the call
+    int64_t priority = 0;       // of the queue
+    Duration expected = {};     // duration of the call
+    TimePoint wantedSince = {}; // the first query for the step that is not answered yet
 };
 
 struct Orders
@@ -146,8 +147,8 @@
     {
         JobId id;
         JobState state;
-        uint64_t changes = 0; // Job::changes when collected
-        std::string progress; // JSON
+        uint64_t changes = 0;     // Job::changes when collected
+        std::string progress;     // JSON
     };
     struct WorkerCompletions
     {
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -76,6 +76,7 @@
     std::unordered_map<std::string, bool> responses = {}; // by worker id; true: allowed
     bool isPending = false;
     TimePoint retryAt = {};
+    std::optional<TimePoint> wantedSince = {}; // the first query that is not answered yet
 };
 
 struct StepState
@@ -110,8 +111,8 @@
     JobState reportedState = JobState::Queued; // to callers: final states only once stored
     bool isCancelled = false;
     bool isDirty = false;
-    uint64_t changes = 0;    // incremented whenever there is something to store
-    bool isRestored = false; // runs started by an earlier owner may exist
+    uint64_t changes = 0;             // incremented whenever there is something to store
+    bool isRestored = false;          // runs started by an earlier owner may exist
     uint32_t occurrencesDone = 0;
     uint32_t activeRuns = 0;
     TimePoint arrivedAt = {};
