Remove a member's row from the store when it stops

Cause: a member that gets SIGTERM resigned its ownership but left its row in the members table.

Change: it removes the row under the revision that it wrote last, so that the row of its restart is left alone. A member that is killed can't do so; the callers judge it by its responses.

--- a/src/cell/owner.cpp
+++ b/src/cell/owner.cpp
@@ -97,6 +97,7 @@
 
 void Owner::resign(std::function<void()> done)
 {
+    withdrawAddress();
     m_ownership.resign(std::move(done));
 }
 
@@ -182,16 +183,43 @@
 // retries until it succeeds.
 void Owner::announceAddress()
 {
+    if (m_isLeaving)
+        return;
     Transaction transaction;
     transaction.writes = {{membersTable, ownerPart, m_options.name, m_options.address}};
     m_store.commit(transaction, BootClock::now() + storeCallTimeout,
                    [this, alive = m_alive](const absl::StatusOr<TransactionResult> &result) {
                        if (!*alive)
                            return;
-                       if (!result.ok())
+                       if (result.ok())
+                           m_announced = result->revision;
+                       else
                            log::info("announce_failed", {{"error", result.status()}});
-                       after(m_announceTimer, result.ok() ? announceInterval : announceRetryPause,
-                             [this] { announceAddress(); });
+                       if (m_isLeaving)
+                           withdrawAddress();
+                       else
+                           after(m_announceTimer,
+                                 result.ok() ? announceInterval : announceRetryPause,
+                                 [this] { announceAddress(); });
+                   });
+}
+
+// Members call this one as long as its row is there. A row that the next process of this instance
+// has written is left.
+void Owner::withdrawAddress()
+{
+    m_isLeaving = true;
+    m_announceTimer.cancel();
+    if (m_announced.value() == 0)
+        return;
+    const Row row = {membersTable, ownerPart, m_options.name, {}, m_announced};
+    m_announced = {};
+    Transaction transaction;
+    transaction.expected = {row};
+    transaction.removals = {row};
+    m_store.commit(transaction, BootClock::now() + storeCallTimeout,
+                   [](const absl::StatusOr<TransactionResult> &result) {
+                       log::info("address_withdrawn", {{"error", result.status()}});
                    });
 }
 
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -137,6 +137,7 @@
     void onWorkers(const std::vector<Row> &rows, bool isSnapshot);
     bool hasService(const std::string &service) const;
     void announceAddress();
+    void withdrawAddress();
     void readMembers();
     void removeExpiredMembers();
     void retryLoad();
@@ -212,6 +213,8 @@
     Timer m_predecessorTimer;
     MemberList m_members;
     size_t m_otherMembers = 0; // as last read
+    Revision m_announced = {}; // of the row with this member's address, as it last wrote it
+    bool m_isLeaving = false;
 
     metrics::Counter &m_startsSent;
     metrics::Counter &m_reportsSeen;
--- a/tests/usersplatform/cell_test.cpp
+++ b/tests/usersplatform/cell_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(lostAnswersOfTheStoreDoubleNothing);
     CPPUNIT_TEST(silentWorkerIsReplacedOnceItsLeaseHasEnded);
     CPPUNIT_TEST(stoppedMemberCutsNoRequest);
+    CPPUNIT_TEST(stoppedMemberWithdrawsItsAddress);
     CPPUNIT_TEST(refusalsAreTrue);
     CPPUNIT_TEST(memberThatTheStoreTurnsAwayStoresThroughAnother);
     CPPUNIT_TEST(memberWithoutTheStoreFollowsANewOwner);
@@ -339,6 +340,21 @@
         CPPUNIT_ASSERT_EQUAL(0, *code);
     }
 
+    // Guards against members that go on calling one that has stopped as planned: its row stayed for
+    // 180 s.
+    void stoppedMemberWithdrawsItsAddress()
+    {
+        const auto announced = [this] {
+            return onStandins([this] { return m_deployment->store().rows("members"); });
+        };
+        waitFor("the rows of all members", [&] { return announced() == members; });
+        member(1).process->terminate();
+        waitFor("the withdrawal", [&] { return announced() == members - 1; });
+        CPPUNIT_ASSERT(member(1).process->waitForExit(BootClock::now() + generous).ok());
+        startMember(1);
+        waitFor("the row of its restart", [&] { return announced() == members; });
+    }
+
     // Guards against a job that runs although its client was told that it does not.
     void refusalsAreTrue()
     {
