Relay rows past members that are gone

A client of a member that the store turns away was refused while another member could have stored its job; while the store is slow, each member wrote the rows of a lost collector's parts by itself.

Cause: Relay::put tried two members of the table, whether they could be reached or not, and rows of lost members stay for 180 s. collectorOf chose a member also while calls to it had just failed.

Change: members that refuse the connection do not count as one of the two, up to four for one row. A member that is paused after a failure collects nothing; the next one in the order does.

Result: RelayTest::rowIsRelayedAlthoughMembersAreGone and unreachableMemberCollectsNoRows failed on the code before and pass now.

--- a/src/cell/relay.cpp
+++ b/src/cell/relay.cpp
@@ -21,6 +21,7 @@
     TimePoint deadline;
     Callback callback;
     std::vector<std::string> tried = {};
+    int unreachable = 0; // of the members tried
     bool mayBeStored = false;
 };
 
@@ -67,12 +68,17 @@
     }
 }
 
+bool Relay::isPaused(const std::string &address, TimePoint now) const
+{
+    const auto peer = m_peers.find(address);
+    return peer != m_peers.end() && now < peer->second.pausedUntil;
+}
+
 std::string Relay::chooseMember(const std::vector<std::string> &tried, TimePoint now)
 {
     const auto isFree = [&](const std::string &address) {
-        const auto peer = m_peers.find(address);
         return std::find(tried.begin(), tried.end(), address) == tried.end()
-                && (peer == m_peers.end() || now >= peer->second.pausedUntil);
+                && !isPaused(address, now);
     };
     if (!m_owner.empty() && isFree(m_owner))
         return m_owner;
@@ -109,13 +115,20 @@
     return message;
 }
 
+namespace {
+
+bool isNotSent(const absl::StatusOr<http::Response> &response)
+{
+    return !response.ok() && failureOf(response.status()) == Failure::ConnectionRefused;
+}
+
+} // namespace
+
 StoreOutcome Relay::outcomeOf(const absl::StatusOr<http::Response> &response)
 {
     if (response.ok() && response->status == 200)
         return decodeStoreOutcome(response->body);
-    const bool isNotSent =
-            !response.ok() && failureOf(response.status()) == Failure::ConnectionRefused;
-    return isNotSent ? StoreOutcome::NotStored : StoreOutcome::Unknown;
+    return isNotSent(response) ? StoreOutcome::NotStored : StoreOutcome::Unknown;
 }
 
 std::string Relay::collectorOf(const std::string &part, const std::string &self) const
@@ -124,9 +137,12 @@
         const std::string text = absl::StrCat(part, "/", address);
         return XXH64(text.data(), text.size(), 0);
     };
+    const TimePoint now = BootClock::now();
     std::string best;
     uint64_t bestWeight = weightOf(self);
     for (const std::string &address : m_addresses) {
+        if (isPaused(address, now))
+            continue;
         const uint64_t weight = weightOf(address);
         if (weight > bestWeight) {
             best = address;
@@ -140,9 +156,8 @@
                        Callback callback)
 {
     const TimePoint now = BootClock::now();
-    const auto peer = m_peers.find(address);
-    const bool isPaused = peer != m_peers.end() && now < peer->second.pausedUntil;
-    const std::shared_ptr<http::Client> client = isPaused ? nullptr : clientOf(address);
+    const std::shared_ptr<http::Client> client =
+            isPaused(address, now) ? nullptr : clientOf(address);
     if (!client || deadline - now <= collectMargin) {
         callback(StoreOutcome::NotStored);
         return;
@@ -174,7 +189,9 @@
 {
     const TimePoint now = BootClock::now();
     const std::string address = chooseMember(request->tried, now);
-    const bool isExhausted = now >= request->deadline || int(request->tried.size()) >= maxRelays;
+    const bool isExhausted = now >= request->deadline
+            || int(request->tried.size()) - request->unreachable >= maxRelays
+            || request->unreachable > maxUnreachableMembers;
     const std::shared_ptr<http::Client> client =
             isExhausted || address.empty() ? nullptr : clientOf(address);
     if (!client) {
@@ -203,6 +220,7 @@
         return;
     }
     m_peers[address].pausedUntil = BootClock::now() + peerBackoff;
+    request->unreachable += isNotSent(response) ? 1 : 0;
     request->mayBeStored = request->mayBeStored || stored == StoreOutcome::Unknown;
     sendToNext(request);
 }
--- a/src/cell/relay.h
+++ b/src/cell/relay.h
@@ -21,7 +21,8 @@
 constexpr Duration relayTimeout = milliseconds(450);        // of one member's response
 constexpr Duration relayConnectTimeout = milliseconds(200); // it is in the same region
 constexpr Duration peerBackoff = seconds(2);                // after a failure of a member
-constexpr int maxRelays = 2;                                // members tried for one row
+constexpr int maxRelays = 2;             // members that may have received one row
+constexpr int maxUnreachableMembers = 4; // tried for one row, beside those
 // Time that a member has for the response beyond the time that it may take for the row.
 constexpr Duration collectMargin = milliseconds(100);
 
@@ -42,14 +43,15 @@
     void setOwner(const std::string &address) { m_owner = address; }
 
     // The member that collects the rows of `part` while the store is slow, chosen alike by all
-    // members: empty if it is this one, whose own address is `self`.
+    // members that reach the same others: empty if it is this one, whose own address is `self`.
     std::string collectorOf(const std::string &part, const std::string &self) const;
     // Asks one member to store the row by `deadline`.
     void putThrough(const std::string &address, const Row &row, TimePoint deadline,
                     Callback callback);
 
-    // Asks up to `maxRelays` members to store the row. The result is NotStored if all of them
-    // reported that it certainly is not stored, or none could be reached.
+    // Asks up to `maxRelays` members to store the row, and others in place of those that cannot be
+    // reached: rows of members that have gone are listed for long. The result is NotStored if all
+    // of them reported that it certainly is not stored, or none could be reached.
     void put(const Row &row, TimePoint deadline, Callback callback);
 
 private:
@@ -60,6 +62,7 @@
         TimePoint pausedUntil = {};
     };
 
+    bool isPaused(const std::string &address, TimePoint now) const;
     std::string chooseMember(const std::vector<std::string> &tried, TimePoint now);
     std::shared_ptr<http::Client> clientOf(const std::string &address);
     static http::Request makeMessage(const Row &row, Duration limit);
--- a/tests/cell/relay_test.cpp
+++ b/tests/cell/relay_test.cpp
@@ -4,6 +4,7 @@
 #include "cell/entry.h"
 #include "cell/memorystore.h"
 #include "cell/relay.h"
+#include "http/server.h"
 
 #include <absl/strings/str_cat.h>
 #include <boost/asio/executor_work_guard.hpp>
@@ -26,6 +27,8 @@
     CPPUNIT_TEST_SUITE(RelayTest);
     CPPUNIT_TEST(membersAgreeOnTheCollectorOfAPart);
     CPPUNIT_TEST(lostMemberMovesOnlyItsParts);
+    CPPUNIT_TEST(unreachableMemberCollectsNoRows);
+    CPPUNIT_TEST(rowIsRelayedAlthoughMembersAreGone);
     CPPUNIT_TEST(rejectedWritesMakeTheStoreSlow);
     CPPUNIT_TEST_SUITE_END();
 
@@ -52,6 +55,13 @@
         return result;
     }
 
+    void runUntilSet(const std::optional<StoreOutcome> &outcome)
+    {
+        const TimePoint limit = BootClock::now() + seconds(20);
+        while (!outcome && BootClock::now() < limit)
+            m_context.run_one_for(milliseconds(20));
+    }
+
 public:
     // Guards against several members that write the same part of a slow store: it executes few
     // transactions a second, and each of these would hold a single row.
@@ -77,6 +87,60 @@
         }
     }
 
+    // Guards against rows that each member stores by itself because the member that collects them
+    // has gone: it is listed for 180 s more.
+    void unreachableMemberCollectsNoRows()
+    {
+        const auto work = boost::asio::make_work_guard(m_context);
+        const std::string lost = "127.0.0.1:1"; // refuses connections
+        Relay relay(m_context);
+        std::vector<std::string> others = {lost};
+        for (size_t member = 0; member < 4; ++member)
+            others.push_back(addressOf(member));
+        relay.setPeers(others);
+        std::string part;
+        for (size_t number = 0; number < jobParts && part.empty(); ++number) {
+            if (relay.collectorOf(jobPartName(number), "10.0.0.99:7440") == lost)
+                part = jobPartName(number);
+        }
+        CPPUNIT_ASSERT(!part.empty());
+        std::optional<StoreOutcome> outcome;
+        relay.putThrough(lost, {jobsTable, part, "5c0e7a21d94b36f8", "{}"},
+                         BootClock::now() + seconds(3),
+                         [&](StoreOutcome stored) { outcome = stored; });
+        runUntilSet(outcome);
+        CPPUNIT_ASSERT(outcome == StoreOutcome::NotStored);
+        const std::string next = relay.collectorOf(part, "10.0.0.99:7440");
+        CPPUNIT_ASSERT(next != lost);
+        relay.setPeers({others.begin() + 1, others.end()});
+        CPPUNIT_ASSERT_EQUAL(relay.collectorOf(part, "10.0.0.99:7440"), next);
+    }
+
+    // Guards against clients that are refused while a member could store their jobs: two members
+    // that had gone were tried, and no other.
+    void rowIsRelayedAlthoughMembersAreGone()
+    {
+        const auto work = boost::asio::make_work_guard(m_context);
+        auto member = http::Server::create(
+                m_context, {}, [](const http::Request &, const http::Responder &respond) {
+                    http::Response response;
+                    response.body = encodeStoreOutcome(StoreOutcome::Stored);
+                    respond(response);
+                });
+        CPPUNIT_ASSERT(member.ok());
+        for (int round = 0; round < 8; ++round) {
+            Relay relay(m_context);
+            relay.setPeers({"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4",
+                            absl::StrCat("127.0.0.1:", (*member)->port())});
+            std::optional<StoreOutcome> outcome;
+            relay.put({jobsTable, jobPartName(0), "5c0e7a21d94b36f8", "{}"},
+                      BootClock::now() + seconds(5),
+                      [&](StoreOutcome stored) { outcome = stored; });
+            runUntilSet(outcome);
+            CPPUNIT_ASSERT(outcome == StoreOutcome::Stored);
+        }
+    }
+
     // Guards against a member that takes an overloaded store for a fast one because none of its own
     // writes succeeds.
     void rejectedWritesMakeTheStoreSlow()
@@ -89,9 +153,7 @@
         acceptance.put({jobsTable, jobPartName(0), "5c0e7a21d94b36f8", "{}"},
                        BootClock::now() + seconds(3),
                        [&](StoreOutcome stored) { outcome = stored; });
-        const TimePoint limit = BootClock::now() + seconds(20);
-        while (!outcome && BootClock::now() < limit)
-            m_context.run_one_for(milliseconds(20));
+        runUntilSet(outcome);
         CPPUNIT_ASSERT(outcome == StoreOutcome::NotStored);
         CPPUNIT_ASSERT(acceptance.responseTime() > slowStoreTime);
     }
