Keep how often each task has failed for jobs of any width

Cause: encodeProgress left the failed attempts out where the row would have exceeded 45,000 bytes, which 1,217 tasks with one failure did. The ends were acknowledged all the same, so the next owner counted from zero.

Evidence: the same without processes and kills: WideJobTest::failuresSurviveAChangeOfTheOwner, in which only the stored row passes from one dispatcher to the next, failed on the code before. Jobs with few tasks never lost a failure (ownersChange).

Change: the stored row has one character a task: done, or how often it has failed, and a second one where a task has failed 64 times or more. The number of an attempt contains how many runs of the task had failed before it, so a failed run tells the count in any order and however often its end is read; the row needs no list of attempts for that. Lists are still written while there is room, for owners of the version before. progress_shortened names the job and is logged once; a counter tells how many rows.

Why it works: what checkJob accepts by one byte a task now fits by one byte a task, so no end is acknowledged that the row lacks, and all ends can be acknowledged.

--- a/src/cell/owner.cpp
+++ b/src/cell/owner.cpp
@@ -54,6 +54,9 @@
     , m_announceTimer(context)
     , m_probeTimer(context)
     , m_predecessorTimer(context)
+    , m_shortenedRows(metrics.counter("cwl_cell_progress_shortened_total",
+                                      "Rows of progress stored without checkpoints because they "
+                                      "would have been too large."))
     , m_startsSent(metrics.counter("cwl_cell_starts_total", "Start orders sent to workers."))
     , m_reportsSeen(metrics.counter("cwl_cell_reports_total", "Reports received from workers."))
     , m_identifications(metrics.counter("cwl_cell_identifications_total",
@@ -419,8 +422,10 @@
     jobs::Batch batch = m_dispatcher.collect();
     std::vector<Row> writes;
     writes.reserve(batch.rows.size() + 2);
-    for (const jobs::Batch::JobRow &row : batch.rows)
+    for (const jobs::Batch::JobRow &row : batch.rows) {
         writes.push_back({progressTable, ownerPart, row.id.value(), row.progress});
+        m_shortenedRows.add(row.isShortened ? 1 : 0);
+    }
     // An earlier owner that can still act counts the used workers as they were.
     std::vector<Row> workerRows;
     std::vector<Row> removals;
--- a/src/cell/owner.h
+++ b/src/cell/owner.h
@@ -216,6 +216,7 @@
     Revision m_announced = {}; // of the row with this member's address, as it last wrote it
     bool m_isLeaving = false;
 
+    metrics::Counter &m_shortenedRows;
     metrics::Counter &m_startsSent;
     metrics::Counter &m_reportsSeen;
     metrics::Counter &m_identifications;
--- a/src/jobs/dispatcher.cpp
+++ b/src/jobs/dispatcher.cpp
@@ -533,9 +533,13 @@
     for (const auto &[id, job] : m_dirty) {
         if (batch.rows.size() == maxRowsPerCommit || bytes > maxBytesPerCommit)
             return batch; // completions are acknowledged once all that they changed is stored
-        batch.rows.push_back(
-                {job->spec.id, job->state, job->changes, encodeProgress(progressOf(*job))});
-        bytes += batch.rows.back().progress.size();
+        Batch::JobRow row = {job->spec.id, job->state, job->changes, {}};
+        row.progress = encodeProgress(progressOf(*job), &row.isShortened);
+        if (row.isShortened && !job->isProgressShortened)
+            log::warn("progress_shortened", {{"job", id}, {"limit", maxProgressBytes}});
+        job->isProgressShortened = row.isShortened;
+        bytes += row.progress.size();
+        batch.rows.push_back(std::move(row));
     }
     for (const auto &[id, worker] : m_workers) {
         if (worker->completionsProcessed > worker->completionsAcknowledged)
--- a/src/jobs/dispatcher.h
+++ b/src/jobs/dispatcher.h
@@ -149,6 +149,7 @@
         JobState state;
         uint64_t changes = 0;     // Job::changes when collected
         std::string progress;     // JSON
+        bool isShortened = false; // see encodeProgress()
     };
     struct WorkerCompletions
     {
--- a/src/jobs/limits.cpp
+++ b/src/jobs/limits.cpp
@@ -1,6 +1,7 @@
 #include "jobs/limits.h"
 
 #include "base/error.h"
+#include "jobs/attempts.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -12,10 +13,18 @@
 
 constexpr int64_t maxFirstAtMs = 1'000'000'000'000'000; // Unix milliseconds
 
-// Upper bound of the stored progress of one step while no task has failed or saved a checkpoint,
-// beside one byte a task.
+// Upper bound of the stored progress of one step without checkpoints and numbers of attempts,
+// beside a byte for each digit of the failures of each task.
 constexpr uint64_t progressBytesPerStep = 90;
 
+uint64_t progressBytes(const JobSpec &spec, uint64_t digitsPerTask)
+{
+    uint64_t bytes = 0;
+    for (const Step &step : spec.steps)
+        bytes += digitsPerTask * step.count + progressBytesPerStep;
+    return std::max(1U, spec.times) * bytes;
+}
+
 bool isAmount(int64_t value)
 {
     return value >= 0 && value <= maxTaskAmount;
@@ -62,15 +71,21 @@
     if (tasks > maxJobTasks)
         return makeError(Failure::JobTooLarge, absl::StrCat("the job has ", tasks, " tasks"),
                          {.limit = absl::StrCat(maxJobTasks, " tasks")});
-    const uint64_t occurrences = std::max(1U, spec.times);
-    if (occurrences * (tasks + progressBytesPerStep * spec.steps.size()) > maxProgressBytes)
-        return makeError(
-                Failure::JobTooLarge,
-                absl::StrCat("the job has ", occurrences, " occurrences of ", tasks, " tasks"),
-                {.limit = absl::StrCat(maxProgressBytes, " bytes of stored progress")});
+    if (progressBytes(spec, 1) > maxProgressBytes)
+        return makeError(Failure::JobTooLarge,
+                         absl::StrCat("the job has ", std::max(1U, spec.times), " occurrences of ",
+                                      tasks, " tasks"),
+                         {.limit = absl::StrCat(maxProgressBytes, " bytes of stored progress")});
     return absl::OkStatus();
 }
 
+int64_t attemptLimit(const JobSpec &spec)
+{
+    const bool hasTwoDigits = progressBytes(spec, 2) <= maxProgressBytes;
+    return std::min<int64_t>(spec.queue.maxAttempts,
+                             hasTwoDigits ? maxCountedFailures : failuresPerDigit - 1);
+}
+
 absl::Status checkCap(const JobSpec &spec)
 {
     if (!spec.customer)
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -1,5 +1,6 @@
 // Placement: which task starts on which worker, and which workers are reserved for which job.
 
+#include "jobs/attempts.h"
 #include "jobs/dispatcher.h"
 #include "jobs/fit.h"
 
@@ -377,18 +378,6 @@
     orders.starts.push_back(std::move(order));
 }
 
-namespace {
-
-// Attempt numbers of an owner are higher than those of all earlier owners.
-constexpr int64_t attemptsPerEpoch = 1000;
-
-int64_t nextAttempt(int64_t last, Epoch epoch)
-{
-    return std::max(last, (epoch.value() - 1) * attemptsPerEpoch) + 1;
-}
-
-} // namespace
-
 Dispatcher::PlacementResult Dispatcher::placeTasks(const Candidate &candidate, Orders &orders,
                                                    TimePoint now)
 {
@@ -416,7 +405,8 @@
             return PlacementResult::NoWorker;
         }
         Worker &worker = *place->worker;
-        start(candidate, index, worker, nextAttempt(task.attempt, m_epoch), orders, now);
+        start(candidate, index, worker, nextAttempt(task.attempt, m_epoch, task.progress.failures),
+              orders, now);
         if (hasFreeCapacity(worker, step) && isUsable(worker, candidate)) {
             place->score = score(worker, candidate);
         } else {
@@ -457,7 +447,7 @@
     }
     for (Task &task : state.tasks)
         task.progress.checkpoint = checkpoint; // valid for all members; each holds the same one
-    const int64_t attempt = nextAttempt(last, m_epoch);
+    const int64_t attempt = nextAttempt(last, m_epoch, state.tasks[0].progress.failures);
     uint32_t index = 0;
     for (const Place &place : places) {
         const int64_t fits = tasksThatFit(freeCapacity(*place.worker), step);
--- a/src/jobs/progress.cpp
+++ b/src/jobs/progress.cpp
@@ -2,13 +2,17 @@
 
 #include "base/boundedjson.h"
 #include "base/error.h"
+#include "jobs/attempts.h"
 #include "jobs/limits.h"
-#include "node/log.h"
 
 #include <rapidjson/document.h>
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
 namespace cwl::jobs {
 
 namespace {
@@ -267,7 +271,41 @@
 namespace {
 
 // What a row of progress holds beside the tasks that are done.
-enum class ProgressDetail { All, NoCheckpoints, DoneOnly };
+enum class ProgressDetail { All, NoCheckpoints, CountsOnly };
+
+// Digits of the number of failures of a task, the lowest one with '.' for 0. Not among them is the
+// character of a task that is done.
+constexpr char doneTask = 'd';
+constexpr std::string_view failureDigits =
+        ".123456789abcefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ-+_";
+static_assert(failureDigits.size() == failuresPerDigit);
+
+uint32_t failureDigit(char text)
+{
+    const size_t digit = failureDigits.find(text);
+    return digit == std::string_view::npos ? 0 : uint32_t(digit);
+}
+
+// The states of the tasks of a step, one character each, and the higher digits of their failures,
+// which are empty if all are 0.
+std::pair<std::string, std::string> encodeTasks(const std::vector<TaskProgress> &tasks)
+{
+    std::string states(tasks.size(), failureDigits[0]);
+    std::string higher;
+    for (size_t index = 0; index < tasks.size(); ++index) {
+        if (tasks[index].isDone) {
+            states[index] = doneTask;
+            continue;
+        }
+        const uint32_t failures = std::min(tasks[index].failures, maxCountedFailures);
+        states[index] = failureDigits[failures % failuresPerDigit];
+        if (failures < failuresPerDigit)
+            continue;
+        higher.resize(tasks.size(), failureDigits[0]);
+        higher[index] = failureDigits[failures / failuresPerDigit];
+    }
+    return {std::move(states), std::move(higher)};
+}
 
 std::string encodeWith(const Progress &progress, ProgressDetail detail)
 {
@@ -282,19 +320,17 @@
         put(writer, "occurrence", int64_t(key.first));
         put(writer, "step", int64_t(key.second));
         put(writer, "count", int64_t(tasks.size()));
-        std::string done(tasks.size(), '.');
-        for (size_t index = 0; index < tasks.size(); ++index) {
-            if (tasks[index].isDone)
-                done[index] = 'd';
-        }
-        put(writer, "done", done);
+        const auto [states, higherDigits] = encodeTasks(tasks);
+        put(writer, "done", states);
+        put(writer, "failures64", higherDigits);
         writer.Key("others");
         writer.StartArray();
         for (size_t index = 0; index < tasks.size(); ++index) {
             const TaskProgress &task = tasks[index];
             const bool hasDetail = detail == ProgressDetail::All
                     || (detail == ProgressDetail::NoCheckpoints && !task.failedAttempts.empty());
-            if (task.isDone || task.isEmpty() || !hasDetail)
+            if (task.isDone || !hasDetail
+                || (task.failedAttempts.empty() && task.checkpoint.empty()))
                 continue;
             writer.StartObject();
             put(writer, "index", int64_t(index));
@@ -317,19 +353,31 @@
 
 } // namespace
 
-std::string encodeProgress(const Progress &progress)
+bool TaskProgress::addFailure(int64_t attempt)
+{
+    if (std::find(failedAttempts.begin(), failedAttempts.end(), attempt) != failedAttempts.end())
+        return false;
+    const std::optional<uint32_t> before = failuresBefore(attempt);
+    // The run may be one of those whose numbers were left out of the stored progress.
+    if (failedAttempts.size() < failures && before && *before < failures)
+        return false;
+    failures = std::max(failures, before.value_or(0)) + 1;
+    failedAttempts.push_back(attempt);
+    return true;
+}
+
+std::string encodeProgress(const Progress &progress, bool *isShortened)
 {
     // The store refuses a transaction with a row that is too large, so the owner could store
     // nothing at all. Checkpoints cost only repeated work if they are left out.
-    std::string text = encodeWith(progress, ProgressDetail::All);
-    for (const ProgressDetail detail : {ProgressDetail::NoCheckpoints, ProgressDetail::DoneOnly}) {
+    std::string text;
+    for (const ProgressDetail detail :
+         {ProgressDetail::All, ProgressDetail::NoCheckpoints, ProgressDetail::CountsOnly}) {
+        text = encodeWith(progress, detail);
+        if (isShortened)
+            *isShortened = detail != ProgressDetail::All;
         if (text.size() <= maxProgressBytes)
             break;
-        log::warn("progress_shortened",
-                  {{"bytes", text.size()},
-                   {"limit", maxProgressBytes},
-                   {"attempts_kept", detail == ProgressDetail::NoCheckpoints}});
-        text = encodeWith(progress, detail);
     }
     return text;
 }
@@ -344,9 +392,14 @@
     if (!others || count < 0 || count > int64_t(maxJobTasks))
         return false;
     tasks.resize(size_t(count));
-    const std::string done = text(step, "done");
-    for (size_t index = 0; index < tasks.size() && index < done.size(); ++index)
-        tasks[index].isDone = done[index] == 'd';
+    const std::string states = text(step, "done");
+    const std::string higherDigits = text(step, "failures64");
+    for (size_t index = 0; index < tasks.size() && index < states.size(); ++index) {
+        tasks[index].isDone = states[index] == doneTask;
+        tasks[index].failures = failureDigit(states[index]);
+        if (index < higherDigits.size())
+            tasks[index].failures += failuresPerDigit * failureDigit(higherDigits[index]);
+    }
     for (const Value &other : others->GetArray()) {
         const int64_t index = other.IsObject() ? number(other, "index") : -1;
         const Value *const attempts =
@@ -356,6 +409,8 @@
         TaskProgress &task = tasks[size_t(index)];
         for (const Value &attempt : attempts->GetArray())
             task.failedAttempts.push_back(attempt.IsInt64() ? attempt.GetInt64() : 0);
+        // Earlier versions stored no counts.
+        task.failures = std::max(task.failures, uint32_t(task.failedAttempts.size()));
         task.checkpoint = text(other, "checkpoint");
     }
     return true;
--- a/src/jobs/progress.h
+++ b/src/jobs/progress.h
@@ -15,10 +15,14 @@
 struct TaskProgress
 {
     bool isDone = false;
-    std::vector<int64_t> failedAttempts = {}; // a completion that is read twice counts once
-    std::string checkpoint = {};              // newest one; empty: none
-
-    bool isEmpty() const { return !isDone && failedAttempts.empty() && checkpoint.empty(); }
+    // Those of the failed runs whose numbers are known. Owners of earlier versions read no count.
+    std::vector<int64_t> failedAttempts = {};
+    std::string checkpoint = {}; // newest one; empty: none
+    uint32_t failures = 0;       // runs that have failed
+
+    bool isEmpty() const { return !isDone && failures == 0 && checkpoint.empty(); }
+    // Counts the failure of a run. Returns false if it has been counted before.
+    bool addFailure(int64_t attempt);
 };
 
 // Numbers of an occurrence and of one of its steps.
@@ -31,7 +35,12 @@
 };
 
 // JSON texts for the platform's tables. Decoding errors: MalformedBody.
-std::string encodeProgress(const Progress &progress);
+
+// At most `maxProgressBytes` and the bytes of an empty text, for any progress of a job that
+// checkJob() accepts and whose tasks have failed less often than attemptLimit(). Where the text
+// would be longer, checkpoints are left out, then numbers of attempts; what is done and how often
+// each task has failed is always kept. Sets `isShortened` accordingly.
+std::string encodeProgress(const Progress &progress, bool *isShortened = nullptr);
 absl::StatusOr<Progress> decodeProgress(const std::string &text);
 std::string encodeJob(const JobSpec &spec);
 absl::StatusOr<JobSpec> decodeJob(const std::string &text);
--- a/src/jobs/runs.cpp
+++ b/src/jobs/runs.cpp
@@ -2,6 +2,7 @@
 
 #include "jobs/dispatcher.h"
 
+#include "jobs/limits.h"
 #include "node/log.h"
 
 #include <algorithm>
@@ -176,17 +177,14 @@
     // All members of a gang share one failure count, stored with its first task.
     TaskProgress &progress = spec.gang ? step.tasks[0].progress : task.progress;
     task.lastFailedOn = worker.entry.id;
-    // Completions arrive in any order: an owner reads those of its predecessor worker by worker.
-    std::vector<int64_t> &failed = progress.failedAttempts;
-    if (spec.longRunning || std::find(failed.begin(), failed.end(), attempt) != failed.end())
+    if (spec.longRunning || !progress.addFailure(attempt))
         return;
-    failed.push_back(attempt);
     markDirty(job);
-    if (int64_t(failed.size()) >= job.spec.queue.maxAttempts) {
+    if (progress.failures >= attemptLimit(job.spec)) {
         log::info("job_out_of_attempts",
                   {{"job", job.spec.id.value()},
                    {"task", address.text()},
-                   {"failures", failed.size()},
+                   {"failures", progress.failures},
                    {"worker", worker.entry.id.value()}});
         finishJob(job, JobState::Failed, now);
     }
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -111,6 +111,7 @@
     JobState reportedState = JobState::Queued; // to callers: final states only once stored
     bool isCancelled = false;
     bool isDirty = false;
+    bool isProgressShortened = false; // as last stored
     uint64_t changes = 0;             // incremented whenever there is something to store
     bool isRestored = false;          // runs started by an earlier owner may exist
     uint32_t occurrencesDone = 0;
