Keep no more callers for long queries than may go

Each waiting long query kept a caller idle, also those that the reserve for short queries holds back; and the callers were counted again for each waiting query. Change: the long queries that may go are counted once a pass and include those that a caller is kept for. Once no caller is left for queries of one kind, the pass skips the others of that kind.

--- a/src/cell/advicequeue.cpp
+++ b/src/cell/advicequeue.cpp
@@ -73,12 +73,13 @@
     return waiting;
 }
 
-bool AdviceQueue::mayTakeLong(TimePoint now) const
+size_t AdviceQueue::longQueriesAllowed(TimePoint now) const
 {
     const Counts count = counts(now);
     const size_t reserved =
             count.responsive == 0 ? 0 : std::min(callersReservedForShort, count.responsive - 1);
-    return count.responsive - count.withLong > reserved;
+    const size_t taken = count.withLong + reserved;
+    return count.responsive > taken ? count.responsive - taken : 0;
 }
 
 // The caller with the fewest queries that may take one more, or, for a long query, that will be
@@ -103,13 +104,20 @@
     std::vector<Assignment> assignments;
     std::vector<std::string> kept; // for long queries that wait until the caller is idle
     const Number overdue = overdueQuery(now).value_or(0);
+    size_t longAllowed = longQueriesAllowed(now);
+    size_t shortAllowed = SIZE_MAX;
     for (const Number number : waitingInOrder(now)) {
         Entry &entry = m_queries.at(number);
-        if (entry.isLong() && !mayTakeLong(now))
+        size_t &allowed = entry.isLong() ? longAllowed : shortAllowed;
+        if (allowed == 0)
             continue;
         const auto caller = chooseCaller(entry, kept, now);
-        if (caller == m_callers.end())
+        if (caller == m_callers.end()) {
+            if (entry.tried.empty())
+                allowed = 0; // no caller is left for the others either
             continue;
+        }
+        --allowed;
         Caller &state = caller->second;
         if (entry.isLong() && state.inFlight > 0) {
             kept.push_back(caller->first);
--- a/src/cell/advicequeue.h
+++ b/src/cell/advicequeue.h
@@ -7,10 +7,8 @@
 //    responded to another one.
 //  - Long queries leave some of the callers that respond to short ones, but never none to
 //    themselves.
-//  - Queries are sent by priority. A long query needs a caller without any other, so the caller
-//  that
-//    is free first is kept for it: otherwise short queries that come steadily would never leave one
-//    idle.
+//  - Queries are sent by priority. A long query needs a caller without any other. The caller that
+//    is idle first is kept for it, since short queries that come steadily would never leave one.
 //  - A query of low priority that has been wanted for long goes first, one at a time.
 
 #pragma once
@@ -102,7 +100,7 @@
 
     std::vector<Number> waitingInOrder(TimePoint now) const;
     std::optional<Number> overdueQuery(TimePoint now) const;
-    bool mayTakeLong(TimePoint now) const;
+    size_t longQueriesAllowed(TimePoint now) const; // beside those in flight
     Callers::iterator chooseCaller(const Entry &entry, const std::vector<std::string> &kept,
                                    TimePoint now);
     void release(Entry &entry);
--- a/tests/cell/advicequeue_test.cpp
+++ b/tests/cell/advicequeue_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(failedMemberIsNoCallerUntilItResponds);
     CPPUNIT_TEST(longQueriesLeaveCallersForShortOnes);
     CPPUNIT_TEST(longQueryGetsItsTurnAtTheOnlyCaller);
+    CPPUNIT_TEST(oneCallerIsKeptForEachLongQueryThatMayGo);
     CPPUNIT_TEST(longQueryWaitsBehindUrgentShortOnes);
     CPPUNIT_TEST(overdueQueryGoesFirst);
     CPPUNIT_TEST(overdueQueriesGoOneAtATime);
@@ -134,6 +135,24 @@
         CPPUNIT_ASSERT((sent(680) == Numbers{third}));
     }
 
+    // Guards against callers that stay idle for long queries which the reserve holds back.
+    void oneCallerIsKeptForEachLongQueryThatMayGo()
+    {
+        m_queue.setMembers({"a", "b"});
+        respond({"a", "b"});
+        for (int number = 0; number < 6; ++number)
+            addShort(0);
+        const Numbers first = sent(0);
+        CPPUNIT_ASSERT_EQUAL(size_t(6), first.size());
+        addLong(10);
+        addLong(10);
+        for (int number = 0; number < 3; ++number)
+            addShort(20);
+        for (size_t number = 0; number < 3; ++number) // one of each caller
+            m_queue.onAnswered(first[number]);
+        CPPUNIT_ASSERT_EQUAL(size_t(2), sent(40).size()); // the third caller is kept
+    }
+
     void longQueryWaitsBehindUrgentShortOnes()
     {
         const auto first = addShort(0);
--- a/tests/cell/advicerouter_test.cpp
+++ b/tests/cell/advicerouter_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <deque>
