Keep one caller of the advice service for long queries, not one for each

In the burst 38 of 40 callers had long queries, and short ones waited until they timed out (advice_queue_timeout with_long_query=38); before, long ones only took callers that happened to be idle. The queue was also sorted again for each event.

Change: a caller is kept only while no long query is in flight, and only one. Waiting queries are held in their order.

--- a/src/cell/advicequeue.h
+++ b/src/cell/advicequeue.h
@@ -7,8 +7,9 @@
 //    responded to another one.
 //  - Long queries leave some of the callers that respond to short ones, but never none to
 //    themselves.
-//  - Queries are sent by priority. A long query needs a caller without any other. The caller that
-//    is idle first is kept for it, since short queries that come steadily would never leave one.
+//  - Queries are sent by priority. A long query needs a caller without any other. While none is in
+//    flight, the caller that is idle first is kept for one, since short queries that come steadily
+//    would never leave one idle.
 //  - A query of low priority that has been wanted for long goes first, one at a time.
 
 #pragma once
@@ -17,8 +18,8 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cwl::cell {
@@ -90,23 +91,35 @@
     {
         Query query;
         TimePoint giveUpAt = {};             // while it waits
-        std::optional<std::string> caller;   // while it is in flight
+        std::string caller = {};             // while it is in flight
         std::vector<std::string> tried = {}; // callers that did not answer it
         bool isOverdue = false;              // it was sent ahead of its turn
 
         bool isLong() const { return query.expected > shortQueryTime; }
     };
-    using Callers = std::map<std::string, Caller>; // by address
+    using Callers = std::map<std::string, Caller>;               // by address
+    using Waiting = std::map<std::pair<int64_t, Number>, Entry>; // by priority
+    // What one call of assign() may still do.
+    struct Pass
+    {
+        TimePoint now;
+        size_t longAllowed = 0;
+        size_t shortAllowed = 0;
+        bool mayKeep = false;         // a caller for a long query
+        const Caller *kept = nullptr; // that caller
+        std::vector<Assignment> assignments = {};
+    };
 
-    std::vector<Number> waitingInOrder(TimePoint now) const;
-    std::optional<Number> overdueQuery(TimePoint now) const;
-    size_t longQueriesAllowed(TimePoint now) const; // beside those in flight
-    Callers::iterator chooseCaller(const Entry &entry, const std::vector<std::string> &kept,
-                                   TimePoint now);
-    void release(Entry &entry);
+    Waiting::iterator overdueQuery(TimePoint now);
+    Callers::iterator chooseCaller(const Entry &entry, const Pass &pass);
+    // Returns true if the query is in flight now.
+    bool assignOne(Waiting::iterator query, Pass &pass);
+    Entry takeInFlight(Number query);
 
     Callers m_callers;
-    std::map<Number, Entry> m_queries; // waiting and in flight
+    Waiting m_waiting;
+    std::map<Number, Entry> m_inFlight;
+    bool m_isOverdueInFlight = false;
     Number m_last = 0;
 };
 
