Say which failure each test of the advice queue guards against

Cause: five tests had no such line. Change: comments only. Measured: format check and a syntax check of the file pass; nothing else was run.

--- a/tests/cell/advicequeue_test.cpp
+++ b/tests/cell/advicequeue_test.cpp
@@ -93,6 +93,7 @@
         CPPUNIT_ASSERT(m_queue.takeProbes(at(600)) == Names{"gone"});
     }
 
+    // Guards against queries that go to a lost member again once its pause is over.
     void failedMemberIsNoCallerUntilItResponds()
     {
         m_queue.setMembers({"a"});
@@ -158,6 +159,7 @@
         CPPUNIT_ASSERT_EQUAL(size_t(1), sent(70).size()); // no other caller is kept
     }
 
+    // Guards against long queries that delay short ones of a more urgent queue.
     void longQueryWaitsBehindUrgentShortOnes()
     {
         const auto first = addShort(0);
@@ -184,6 +186,7 @@
         CPPUNIT_ASSERT((sent(2080) == Numbers{overdue}));
     }
 
+    // Guards against overdue queries that take all callers from urgent ones.
     void overdueQueriesGoOneAtATime()
     {
         m_queue.setMembers({"a", "b", "c"});
@@ -198,6 +201,7 @@
         CPPUNIT_ASSERT((sent(5200) == Numbers{urgent}));
     }
 
+    // Guards against a query that fails with its caller while another one is free.
     void failedQueryGoesToAnotherCaller()
     {
         m_queue.setMembers({"a"});
@@ -212,6 +216,7 @@
         CPPUNIT_ASSERT(!m_queue.onFailed(query, at(20))); // both have failed
     }
 
+    // Guards against queries that wait for ever while all callers are busy.
     void waitingQueryTimesOut()
     {
         const auto first = addLong(0);
