Review case 11: one job with 62 steps that cannot be placed stops its service

A job of 62 lasting steps, whose label no runner has, is accepted; afterwards no other job of its service starts, on four idle runners.

--- /dev/null
+++ b/review/standins-3/cellreview.cpp
@@ -0,0 +1,436 @@
+// Plays one case of the review: cellreview CASE PROGRAM RECORD. Exits with 1 if the rule was
+// broken, 0 if it held and 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+
+#include "deployment.h"
+
+#include <cstdio>
+#include <unistd.h>
+
+using namespace review;
+
+namespace {
+
+Deployment *opened = nullptr;
+
+Deployment &open(Record &record, const std::string &program, const std::vector<Queue> &queues)
+{
+    opened = new Deployment(record, program, queues);
+    return *opened;
+}
+
+constexpr int broken = 1;
+constexpr int held = 0;
+constexpr int notRun = 2;
+
+bool hasTrouble()
+{
+    const char *const text = std::getenv("TROUBLE");
+    return text == nullptr || std::string(text) != "0";
+}
+
+std::string oneStep(const std::string &spec, const std::string &fields)
+{
+    return "{\"spec\":\"" + spec + "\",\"phases\":[{" + fields + "}]}";
+}
+
+// Section: one job that cannot be done
+
+// LOST, last sentence: a job has nothing running for 3 s while the turn of a task has come, there
+// is capacity for it twice over and under half of the service's capacity is in use. Ordinary jobs
+// come before and after `hopeless`, which is sent to the queue of jobs that last.
+int starveBy(const std::string &hopeless, const char *note, Record &record,
+             const std::string &program)
+{
+    constexpr int earlier = 24; // ordinary jobs before the hopeless one
+    constexpr int later = 60;   // and after it, ten a second: 1 of 31 jobs within 3 s is hopeless
+    constexpr int64_t pauseMs = 100;
+    constexpr int64_t finishMs = 14000;
+    constexpr int64_t cpuOfRunner = 4000;
+    constexpr int64_t cpuOfService = 4 * cpuOfRunner;
+    Deployment &cell = open(record, program,
+                            {{.name = "draw-pair", .prefix = "/draw/", .service = "draw-svc"},
+                             {.name = "motion-watch",
+                              .prefix = "/watch/",
+                              .service = "draw-svc",
+                              .priority = 1,
+                              .maxAttempts = 4,
+                              .slowdownFactor = 2.2,
+                              .targetLatencyMs = 2500}});
+    for (int number = 0; number < 4; ++number)
+        cell.addRunner(
+                {.id = "i-" + std::to_string(number), .service = "draw-svc", .cpu = cpuOfRunner});
+    if (!cell.open(3))
+        return notRun;
+    const std::string ordinary =
+            oneStep("run=200", "\"count\":2,\"cpu\":500,\"memMb\":256,\"estRuntimeMs\":200");
+    const auto isCompleted = [&](int number) {
+        return cell.stateOf("/draw/" + jobId(number)) == "completed";
+    };
+    for (int number = 0; number < earlier; ++number) {
+        if (!cell.submit("/draw/" + jobId(number), ordinary))
+            return notRun;
+        sleepMs(pauseMs);
+    }
+    sleepMs(3000);
+    for (int number = 0; number < earlier; ++number) {
+        if (!isCompleted(number)) {
+            record.add("an ordinary job is not completed before the disruption");
+            return notRun;
+        }
+    }
+    if (hasTrouble() && !cell.submit("/watch/" + jobId(1000), hopeless, note))
+        return notRun;
+    for (int number = earlier; number < earlier + later; ++number) {
+        if (!cell.submit("/draw/" + jobId(number), ordinary))
+            return notRun;
+        sleepMs(pauseMs);
+    }
+    record.add("the traffic has ended");
+    sleepMs(finishMs);
+    std::map<int, int64_t> idleSince; // jobs that are not completed
+    for (int number = earlier; number < earlier + later; ++number) {
+        if (!isCompleted(number))
+            idleSince[number] = steadyMs();
+    }
+    record.add(std::to_string(idleSince.size()) + " of " + std::to_string(later)
+               + " jobs are not completed 14 s after the end of the traffic");
+    std::set<int> lost;
+    const int64_t until = steadyMs() + 5000;
+    while (!idleSince.empty() && steadyMs() < until) {
+        sleepMs(5);
+        int64_t used = 0;
+        std::set<std::string> busy;
+        for (const auto &runner : cell.runners) {
+            for (const auto &[task, run] : runner->running()) {
+                used += task.substr(0, 16) == jobId(1000) ? 1300
+                                                          : 500; // the most that they ask for
+                busy.insert(task.substr(0, 16));
+            }
+        }
+        const bool isCapacityFree = 2 * used < cpuOfService && cpuOfService - used >= 2 * 500;
+        for (auto &[number, since] : idleSince) {
+            if (!isCapacityFree || busy.contains(jobId(number)))
+                since = steadyMs();
+            else if (steadyMs() - since >= 3000)
+                lost.insert(number);
+        }
+    }
+    record.add("LOST: " + std::to_string(lost.size())
+               + " accepted jobs have had nothing running for 3 s, with most runners idle");
+    return lost.empty() ? held : broken;
+}
+
+int starveBySteps(Record &record, const std::string &program)
+{
+    constexpr int steps = 62;
+    std::string phases;
+    for (int step = 0; step < steps; ++step)
+        phases += std::string(step == 0 ? "" : ",")
+                + "{\"count\":1,\"cpu\":500,\"memMb\":256,\"estRuntimeMs\":620,"
+                  "\"longRunning\":true,\"requires\":\"kind-z\"}";
+    return starveBy("{\"spec\":\"run=0\",\"phases\":[" + phases + "]}",
+                    "62 steps that last, on runners with a label that none has", record, program);
+}
+
+int starveByFailures(Record &record, const std::string &program)
+{
+    return starveBy(oneStep("fail=50",
+                            "\"count\":6,\"cpu\":1300,\"memMb\":256,"
+                            "\"estRuntimeMs\":620,\"longRunning\":true"),
+                    "six lasting tasks of 1.3 cores, which always fail after 50 ms", record,
+                    program);
+}
+
+// Section: memory of the owner
+
+// Fault: on two machines or more, processes end by themselves three times (memory over the limit
+// counts). The platform's stand-in here kills and restarts a process above its memory.
+int memory(Record &record, const std::string &program)
+{
+    constexpr int memoryMb = 260;
+    constexpr int jobs = 100;
+    Deployment &cell = open(record, program,
+                            {{.name = "tab-rebuild",
+                              .prefix = "/tab/",
+                              .service = "draw-svc",
+                              .priority = 2,
+                              .maxAttempts = 4,
+                              .slowdownFactor = 4,
+                              .targetLatencyMs = 3000}});
+    for (int number = 0; number < 4; ++number)
+        cell.addRunner({.id = "i-" + std::to_string(number), .service = "draw-svc"});
+    if (!cell.open(3, {.memoryMb = memoryMb}))
+        return notRun;
+    std::atomic<bool> isOver = false;
+    std::map<std::string, int> ends;
+    std::map<std::string, int64_t> peaks;
+    std::thread platform([&] {
+        while (!isOver) {
+            for (const auto &member : cell.members) {
+                const int64_t resident = member->residentKb();
+                peaks[member->name()] = std::max(peaks[member->name()], resident);
+                const bool isTooLarge = resident > memoryMb * 1024;
+                if (!isTooLarge && !member->hasEnded())
+                    continue;
+                record.add(member->name() + " ends by itself with "
+                           + std::to_string(resident / 1024) + " MB of " + std::to_string(memoryMb)
+                           + " MB");
+                ++ends[member->name()];
+                member->end();
+                sleepMs(300);
+                member->start();
+            }
+            sleepMs(20);
+        }
+    });
+    const std::string large =
+            "{\"spec\":\"run=5000\",\"times\":8,\"phases\":[{\"count\":5000,\"cpu\":"
+            "1000,\"memMb\":1000,\"estRuntimeMs\":200}]}";
+    const std::string ordinary =
+            oneStep("run=200", "\"count\":2,\"cpu\":500,\"memMb\":256,\"estRuntimeMs\":200");
+    int accepted = 0;
+    for (int number = 0; number < jobs; ++number) {
+        accepted += cell.submit("/tab/" + jobId(number), hasTrouble() ? large : ordinary) ? 1 : 0;
+        sleepMs(100);
+    }
+    record.add(std::to_string(accepted) + " jobs were accepted, with bodies of "
+               + std::to_string(hasTrouble() ? large.size() : ordinary.size()) + " bytes");
+    sleepMs(45000);
+    isOver = true;
+    platform.join();
+    int machines = 0;
+    for (const auto &[name, peak] : peaks) {
+        record.add(name + ": " + std::to_string(ends[name]) + " ends by itself, at most "
+                   + std::to_string(peak / 1024) + " MB");
+        machines += ends[name] >= 3 ? 1 : 0;
+    }
+    record.add("Fault: on " + std::to_string(machines)
+               + " machines the process has ended by itself three times");
+    return machines >= 2 ? broken : held;
+}
+
+// Section: the count of waiting jobs
+
+// MIXED: a machine in touch gives as `pending` under half of the jobs without times that were
+// accepted over visible_ms + 2 s before and have not begun.
+int pending(Record &record, const std::string &program)
+{
+    constexpr int jobs = 2;
+    constexpr int64_t visibleMs = 3000 + 2000;
+    constexpr int64_t hangMs = 5500;
+    Deployment &cell = open(record, program,
+                            {{.name = "draw-pair", .prefix = "/draw/", .service = "draw-svc"},
+                             {.name = "tab-rebuild",
+                              .prefix = "/tab/",
+                              .service = "draw-svc",
+                              .priority = 2,
+                              .slowdownFactor = 4,
+                              .targetLatencyMs = 3000}});
+    for (int number = 0; number < 10; ++number)
+        cell.addRunner({.id = "i-" + std::to_string(number), .service = "draw-svc"});
+    if (!cell.open(3))
+        return notRun;
+    // Nine of the ten runners are at work for a minute; they cannot be preempted.
+    if (!cell.submit("/tab/" + jobId(1000),
+                     oneStep("run=60000",
+                             "\"count\":9,\"cpu\":3500,\"memMb\":256,\"estRuntimeMs\":"
+                             "60000,\"antiAffinity\":1")))
+        return notRun;
+    sleepMs(1500);
+    Runner *free = nullptr;
+    int busy = 0;
+    for (const auto &runner : cell.runners) {
+        if (runner->running().empty())
+            free = runner.get();
+        else
+            ++busy;
+    }
+    if (busy != 9 || !free)
+        return notRun;
+    record.add("9 runners are busy, " + free->options().id + " is free");
+    const std::string ordinary =
+            oneStep("run=300", "\"count\":1,\"cpu\":1000,\"memMb\":256,\"estRuntimeMs\":300");
+    for (int number = 2000; number < 2006; ++number) {
+        if (!cell.submit("/draw/" + jobId(number), ordinary))
+            return notRun;
+    }
+    sleepMs(2000);
+    if (!free->running().empty())
+        return notRun;
+    const int64_t troubleAt = steadyMs();
+    if (hasTrouble()) {
+        record.add(free->options().id + " leaves all requests unanswered for 5.5 s");
+        free->hangs = true;
+    }
+    std::map<std::string, int64_t> acceptedAt; // by id, of the record
+    for (int number = 0; number < jobs; ++number) {
+        if (!cell.submit("/draw/" + jobId(number), ordinary))
+            return notRun;
+        acceptedAt[jobId(number)] = record.nowMs();
+    }
+    int wrong = 0;
+    int asked = 0;
+    while (steadyMs() < troubleAt + 15000) {
+        if (free->hangs && steadyMs() >= troubleAt + hangMs) {
+            free->hangs = false;
+            record.add(free->options().id + " answers again");
+        }
+        const int64_t sentAt = record.nowMs();
+        const Response response = cell.send("GET", "/draw/", "");
+        const auto begun = [&](const std::string &id) {
+            for (const auto &runner : cell.runners) {
+                for (const auto &[task, at] : runner->begun()) {
+                    if (task.substr(0, 16) == id)
+                        return true;
+                }
+            }
+            return false;
+        };
+        int waiting = 0;
+        for (const auto &[id, at] : acceptedAt)
+            waiting += sentAt - at > visibleMs && !begun(id) ? 1 : 0;
+        if (response.status == 200 && waiting > 0) {
+            ++asked;
+            const int64_t told = fromText(response.body)["pending"].asInt64();
+            if (2 * told < waiting) {
+                ++wrong;
+                record.add("pending is " + std::to_string(told) + ", and " + std::to_string(waiting)
+                           + " jobs that were accepted over 5 s before have not begun");
+            }
+        }
+        sleepMs(100);
+    }
+    record.add("MIXED: " + std::to_string(wrong) + " of " + std::to_string(asked)
+               + " counts were under half of the jobs that had not begun");
+    return wrong > 0 ? broken : held;
+}
+
+// Section: a lasting task at work
+
+// AVAIL: a stop ends a task of a step with maxUnavailable that is at work on a sound runner that
+// is not draining, while so many others of its step are not at work for noticeMs.
+int avail(Record &record, const std::string &program)
+{
+    constexpr int64_t noticeMs = 4500;
+    constexpr int64_t batchMs = 9000;
+    constexpr int64_t troubleMs = 5500;
+    Deployment &cell = open(record, program,
+                            {{.name = "draw-pair", .prefix = "/draw/", .service = "draw-svc"},
+                             {.name = "motion-watch",
+                              .prefix = "/watch/",
+                              .service = "draw-svc",
+                              .priority = 1,
+                              .maxAttempts = 4,
+                              .slowdownFactor = 2.2,
+                              .targetLatencyMs = 2500},
+                             {.name = "tab-rebuild",
+                              .prefix = "/tab/",
+                              .service = "draw-svc",
+                              .priority = 2,
+                              .slowdownFactor = 4,
+                              .targetLatencyMs = 3000}});
+    for (int number = 0; number < 2; ++number)
+        cell.addRunner({.id = "i-" + std::to_string(number), .service = "draw-svc", .cpu = 5000});
+    const std::string id = jobId(1);
+    std::atomic<int> wrong = 0;
+    std::atomic<int64_t> submittedAt = 0;
+    for (const auto &runner : cell.runners) {
+        runner->losingJob = id;
+        runner->onStopOrder = [&, runner = runner.get()](const std::string &task,
+                                                         const Runner::Run &run) {
+            if (task.substr(0, 16) != id)
+                return;
+            const bool isAtWork = runner->percentOf(run) == 100;
+            // Task 2 of the step never finds room, so it has been away since the job was accepted.
+            const bool isOtherAway = steadyMs() - submittedAt > noticeMs;
+            record.add("stop of " + task + ": at work " + (isAtWork ? "yes" : "no")
+                       + ", another task of the step away for over 4.5 s "
+                       + (isOtherAway ? "yes" : "no"));
+            wrong += isAtWork && isOtherAway ? 1 : 0;
+        };
+    }
+    if (!cell.open(3))
+        return notRun;
+    if (!cell.submit("/tab/" + jobId(1000),
+                     oneStep("run=" + std::to_string(batchMs),
+                             "\"count\":1,\"cpu\":4000,\"memMb\":256,\"estRuntimeMs\":9000")))
+        return notRun;
+    const int64_t batchAt = steadyMs();
+    sleepMs(1000);
+    Runner *busy = nullptr;
+    for (const auto &runner : cell.runners) {
+        if (!runner->running().empty())
+            busy = runner.get();
+    }
+    if (!busy)
+        return notRun;
+    if (!cell.submit("/watch/" + id,
+                     oneStep("run=0",
+                             "\"count\":3,\"cpu\":4000,\"memMb\":256,\"estRuntimeMs\":620,"
+                             "\"longRunning\":true,\"maxUnavailable\":1")))
+        return notRun;
+    submittedAt = steadyMs();
+    // Small jobs all along: the runners execute dozens of calls while answers are lost.
+    const std::string ordinary =
+            oneStep("run=100", "\"count\":2,\"cpu\":250,\"memMb\":256,\"estRuntimeMs\":100");
+    const int64_t troubleAt = batchAt + batchMs - 1000;
+    bool isOn = false;
+    bool isOver = false;
+    int callsBefore = 0;
+    for (int number = 10; steadyMs() < batchAt + batchMs + 9000; ++number) {
+        if (!cell.submit("/draw/" + jobId(number), ordinary))
+            return notRun;
+        sleepMs(60);
+        if (!isOn && steadyMs() >= troubleAt) {
+            isOn = true;
+            callsBefore = busy->calls;
+            if (hasTrouble()) {
+                record.add("of the calls that " + busy->options().id
+                           + " executes in the next 5.5 s, one answer will be lost");
+                busy->losesStartOf = true;
+            }
+        }
+        if (isOn && !isOver && steadyMs() >= troubleAt + troubleMs) {
+            isOver = true;
+            record.add(busy->options().id + " has executed "
+                       + std::to_string(busy->calls - callsBefore) + " calls in 5.5 s");
+        }
+    }
+    record.add("AVAIL: " + std::to_string(wrong) + " tasks at work were stopped");
+    return wrong > 0 ? broken : held;
+}
+
+struct Case
+{
+    const char *name;
+    int (*play)(Record &record, const std::string &program);
+};
+
+constexpr Case cases[] = {{"starve-steps", starveBySteps},
+                          {"starve-failures", starveByFailures},
+                          {"memory", memory},
+                          {"pending", pending},
+                          {"avail", avail}};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    if (argc != 4) {
+        std::fprintf(stderr, "usage: cellreview CASE PROGRAM RECORD\n");
+        return notRun;
+    }
+    Record record(argv[3]);
+    if (!record.isOpen())
+        return notRun;
+    for (const Case &known : cases) {
+        if (std::string(argv[1]) != known.name)
+            continue;
+        const int result = known.play(record, argv[2]);
+        record.add("exit " + std::to_string(result));
+        if (opened)
+            opened->close();
+        std::_Exit(result); // the threads of the stand-ins go on until here
+    }
+    return notRun;
+}
