--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 11 to 15 into target/review-3. Needs the deployed program's
+# Builds the stand-ins of the cases 11 to 14 into target/review-3. Needs the deployed program's
 # packages only; run it after the build of the deploy file.
 set -eu
 cd "$(dirname "$0")/.."
